Balance by use of slots, and look beyond the domain before queueing where nobody may work yet

The choice of the instance was blind to speed: each slot got the same rate, so the slots of upstreams four times slower were in use four times as long. Besides, after a domain came back its instances handed new work to owners still in their hold-off, where it queued and was refused. Change: instances tell each other with their probes how busy they are with each service; an instance keeps new work while it is no busier than its neighbours and else hands it to the less busy of two owners; the policy within an instance is the least used slot; owners in hold-off are passed over while others can take the work. Usable slots are counted once, not by a scan.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -12,6 +12,7 @@
 	"hawthorncourse/internal/bench/report"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/oper/change"
+	"hawthorncourse/internal/stand/upnode"
 )
 
 const (
@@ -55,7 +56,10 @@
 	cfg   Config
 	fleet *fleet.Fleet
 	load  *drive.Load
-	out   report.Run
+	run   report.Run
+	// leaving and out are the upstream and the domain that operators have taken out; empty for none.
+	leaving string
+	out     model.DomainID
 }
 
 // Run brings about the events and returns what was measured.
@@ -65,7 +69,7 @@
 		return run, err
 	}
 	defer f.Close()
-	d := &demo{cfg: cfg, fleet: f, out: report.Run{Setup: cfg.Setup.Name, Seed: cfg.Seed}}
+	d := &demo{cfg: cfg, fleet: f, run: report.Run{Setup: cfg.Setup.Name, Seed: cfg.Seed}}
 	if err := d.begin(ctx); err != nil {
 		return run, err
 	}
@@ -76,7 +80,7 @@
 		}
 	}
 	d.judge(ctx)
-	return d.out, nil
+	return d.run, nil
 }
 
 func (d *demo) begin(ctx context.Context) (err error) {
@@ -111,12 +115,15 @@
 		{name: "warm up", planned: true, act: nothing, wait: 2 * quiet},
 		{name: "steady", planned: true, act: nothing, wait: 2 * quiet},
 		{name: "upstream leaves", planned: true, act: d.edit(func(c change.Draft) ([]byte, error) {
+			d.leaving = string(leaving)
 			return change.SetLeaving(c, leaving, true, "for maintenance")
 		}), wait: quiet},
 		{name: "domain out", planned: true, domain: domain, act: d.edit(func(c change.Draft) ([]byte, error) {
+			d.out = domain
 			return change.SetOut(c, domain, true, "for the season")
 		}), wait: 2 * quiet},
 		{name: "domain back", planned: true, domain: domain, act: d.edit(func(c change.Draft) ([]byte, error) {
+			d.out = ""
 			return change.SetOut(c, domain, false, "")
 		}), wait: 2 * quiet},
 		{name: "instance stops", planned: true, domain: domain, act: func(context.Context) error {
@@ -142,7 +149,7 @@
 // happen brings one event about and measures until it has taken effect.
 func (d *demo) happen(ctx context.Context, ev event) error {
 	before := len(d.load.Broken())
-	snap := d.snapshot()
+	busy := drive.Busy(d.fleet.Nodes)
 	began := time.Now()
 	if err := ev.act(ctx); err != nil {
 		return fmt.Errorf("%s: %w", ev.name, err)
@@ -157,13 +164,13 @@
 		Planned:   ev.planned,
 		Seconds:   time.Since(began).Seconds(),
 		Broken:    len(d.load.Broken()) - before,
-		Imbalance: d.imbalance(snap),
+		Imbalance: drive.Imbalance(d.open(), busy),
 	}
 	for outcome, n := range d.load.Bookings(began) {
 		p.Bookings = append(p.Bookings, report.Count{Name: outcome.String(), Value: int64(n)})
 	}
 	p.Sort()
-	d.out.Phases = append(d.out.Phases, p)
+	d.run.Phases = append(d.run.Phases, p)
 	fmt.Fprintf(d.cfg.Out, "%-10s %-16s broken %d, imbalance %.2f, bookings %v\n", d.cfg.Setup.Name, ev.name, p.Broken, p.Imbalance, p.Bookings)
 	d.checkPhase(ev)
 	return nil
@@ -177,7 +184,7 @@
 	for _, s := range d.load.Broken() {
 		domain := d.fleet.UpstreamDomains()[s.First]
 		if ev.domain == "" || domain != ev.domain {
-			d.out.Breaches = append(d.out.Breaches, fmt.Sprintf("%s: stream at %s broke: %+v", ev.name, s.First, s.StreamReport))
+			d.run.Breaches = append(d.run.Breaches, fmt.Sprintf("%s: stream at %s broke: %+v", ev.name, s.First, s.StreamReport))
 		}
 	}
 }
@@ -187,14 +194,14 @@
 	d.load.Stop()
 	time.Sleep(settleTime)
 	for _, b := range d.load.Verify(drive.Limits{ColdSlots: coldSlots, ColdConnections: coldConnections}) {
-		d.out.Breaches = append(d.out.Breaches, b.String())
+		d.run.Breaches = append(d.run.Breaches, b.String())
 	}
 	h := d.load.Latency()
 	for _, q := range []float64{50, 90, 99, 99.9} {
-		d.out.Latency = append(d.out.Latency, report.Quantile{Percent: q, Micros: h.ValueAtQuantile(q)})
+		d.run.Latency = append(d.run.Latency, report.Quantile{Percent: q, Micros: h.ValueAtQuantile(q)})
 	}
-	d.out.Refused = report.Counts(d.load.Refused())
-	d.out.Counters = d.counters(ctx)
+	d.run.Refused = report.Counts(d.load.Refused())
+	d.run.Counters = d.counters(ctx)
 }
 
 func (d *demo) counters(ctx context.Context) []report.Count {
@@ -211,25 +218,18 @@
 	return report.Counts(sums)
 }
 
-// snapshot returns how long each upstream was busy so far.
-func (d *demo) snapshot() map[string]time.Duration {
-	out := map[string]time.Duration{}
-	for _, n := range d.fleet.Nodes {
-		out[n.Name()] = n.Journal().Busy
-	}
-	return out
+// closed reports whether operators want no work at the upstream now.
+func (d *demo) closed(name string) bool {
+	return name == d.leaving || (d.out != "" && d.fleet.UpstreamDomains()[name] == d.out)
 }
 
-// imbalance returns the highest use of slots of the first service's upstreams over their mean.
-func (d *demo) imbalance(before map[string]time.Duration) float64 {
-	var top, sum time.Duration
-	nodes := d.fleet.Nodes[:d.cfg.Setup.Services[0].Upstreams]
-	for _, n := range nodes {
-		busy := n.Journal().Busy - before[n.Name()]
-		top, sum = max(top, busy), sum+busy
-	}
-	if sum == 0 {
-		return 0
+// open returns the upstreams of the first service that take work.
+func (d *demo) open() []*upnode.Node {
+	var out []*upnode.Node
+	for _, n := range d.fleet.Nodes[:d.cfg.Setup.Services[0].Upstreams] {
+		if !d.closed(n.Name()) {
+			out = append(out, n)
+		}
 	}
-	return float64(top) * float64(len(nodes)) / float64(sum)
+	return out
 }
--- a/internal/bench/drive/drive.go
+++ b/internal/bench/drive/drive.go
@@ -246,6 +246,13 @@
 	return maps.Clone(l.refused)
 }
 
+// ResetLatency forgets the latency so far, as after a warm-up.
+func (l *Load) ResetLatency() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency.Reset()
+}
+
 // Latency returns the latency of what was done, in microseconds.
 func (l *Load) Latency() *hdrhistogram.Histogram {
 	l.mu.Lock()
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -69,6 +69,8 @@
 	Seed uint64
 	// LogLevel is that of the entry processes.
 	LogLevel string
+	// Policy is that of the entry processes; empty for the default.
+	Policy string
 }
 
 // Fleet is a running set-up.
--- a/internal/bench/fleet/instance.go
+++ b/internal/bench/fleet/instance.go
@@ -97,6 +97,7 @@
 	Fabric        string `json:"fabric"`
 	Platform      string `json:"platform"`
 	LogLevel      string `json:"logLevel"`
+	Policy        string `json:"policy,omitempty"`
 	Seed          uint64 `json:"seed"`
 	StreamLimit   int    `json:"streamLimit"`
 }
@@ -121,6 +122,7 @@
 		Fabric:        f.Fabric.Inside().String(),
 		Platform:      "http://" + f.platformAddr.String(),
 		LogLevel:      level,
+		Policy:        f.cfg.Policy,
 		Seed:          f.cfg.Seed,
 		StreamLimit:   streamLimit,
 	}, "", "\t")
--- a/internal/bench/tools/tools.go
+++ b/internal/bench/tools/tools.go
@@ -17,6 +17,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.CommandsCommand(), "")
 	c.Register(&demoCommand{}, "")
+	c.Register(&balanceCommand{}, "")
 }
 
 func fail(err error) subcommands.ExitStatus {
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hawthorncourse/internal/conf/reader"
+	"hawthorncourse/internal/core/engine"
 	"hawthorncourse/internal/core/model"
 )
 
@@ -45,6 +46,8 @@
 	StreamLimit int
 	// HealthInterval is how often upstreams are asked for their health.
 	HealthInterval time.Duration
+	// Policy names the way to pick one of several free upstreams.
+	Policy string
 	// Seed feeds random choices; zero for one from the clock.
 	Seed uint64
 }
@@ -78,6 +81,7 @@
 		RingSize:       defaultRingSize,
 		StreamLimit:    defaultStreamLimit,
 		HealthInterval: defaultHealthInterval,
+		Policy:         engine.DefaultPolicy,
 	}
 	faults := reader.Read(text, reader.Shape{
 		"instance":       reader.Text(&cfg.Instance),
@@ -95,6 +99,7 @@
 		"ringSize":       reader.Number(&cfg.RingSize, 1, maxRingSize),
 		"streamLimit":    reader.Number(&cfg.StreamLimit, 1, maxStreamLimit),
 		"healthInterval": reader.Duration(&cfg.HealthInterval, 100*time.Millisecond, time.Minute),
+		"policy":         func(f reader.Field) { readPolicy(f, &cfg.Policy) },
 		"seed":           reader.Number(&cfg.Seed, 0, 1<<53),
 	})
 	faults = append(faults, cfg.missing()...)
@@ -118,6 +123,13 @@
 	*level = parsed
 }
 
+func readPolicy(f reader.Field, name *string) {
+	reader.Text(name)(f)
+	if _, ok := engine.PolicyOf(*name); !ok {
+		f.Fault("must be \"utilisation\", \"completion\", \"random\" or \"roundRobin\"")
+	}
+}
+
 func (cfg *Config) missing() reader.Faults {
 	var faults reader.Faults
 	needs := []struct {
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -24,7 +24,7 @@
 	Seed uint64
 	// StreamLimit is the most streams that are remembered at once.
 	StreamLimit int
-	// Policy picks one of several free upstreams; nil for two choices by expected completion.
+	// Policy picks one of several free upstreams; nil for the default policy.
 	Policy choose.Policy[Candidate]
 }
 
@@ -42,7 +42,8 @@
 	issuers map[model.IssuerTag]model.InstanceID
 	// severed holds the issuers whose whole domain is silent: they may live on beyond a cut.
 	severed map[model.IssuerTag]bool
-	loads   map[model.InstanceID]float64
+	// loads holds what peers last said of how busy they are.
+	loads map[loadKey]float64
 
 	table     *units.Table
 	sealer    bind.Sealer
@@ -76,7 +77,7 @@
 		policy:    cfg.Policy,
 		issuers:   map[model.IssuerTag]model.InstanceID{},
 		severed:   map[model.IssuerTag]bool{},
-		loads:     map[model.InstanceID]float64{},
+		loads:     map[loadKey]float64{},
 		table:     units.NewTable(units.Config{Self: cfg.Self.ID}),
 		ledger:    once.NewLedger(),
 		services:  map[netip.AddrPort]*service{},
@@ -88,7 +89,7 @@
 		flows:     newFlowTable(cfg.StreamLimit),
 	}
 	if e.policy == nil {
-		e.policy = choose.TwoChoices[Candidate]{Score: Completion}
+		e.policy, _ = PolicyOf(DefaultPolicy)
 	}
 	e.members = []model.Member{cfg.Self}
 	e.indexMembers()
--- a/internal/core/engine/exchange.go
+++ b/internal/core/engine/exchange.go
@@ -56,12 +56,16 @@
 // start places a new exchange: on a free slot of this instance, at a peer, or in the queue.
 func (e *Engine) start(now model.Instant, x *exchange) {
 	s := x.service
-	if s.waiting.Len() == 0 && e.place(now, x) {
+	keep := x.entry != nil || x.packet.Hops > 0 || e.idle(now, s)
+	if keep && s.waiting.Len() == 0 && e.place(now, x) {
 		return
 	}
 	if x.entry == nil && e.placeElsewhere(now, s, x.packet) {
 		return
 	}
+	if !keep && s.waiting.Len() == 0 && e.place(now, x) {
+		return
+	}
 	if s.mine == 0 {
 		e.giveUp(now, x, model.ReasonNoUpstream)
 		return
--- a/internal/core/engine/packet.go
+++ b/internal/core/engine/packet.go
@@ -36,21 +36,30 @@
 	if p.Hops >= model.MaxHops {
 		return false
 	}
-	if peer := e.pickOwner(now, s.near); peer != "" && !e.crowded(s) {
-		if peer == e.cfg.Self.ID {
-			return false
-		}
-		e.hand(p, peer, model.ReasonBorrow)
-		return true
-	}
-	peer := e.pickOwner(now, s.far)
+	peer, reason := e.pickPeer(now, s)
 	if peer == "" || peer == e.cfg.Self.ID {
 		return false
 	}
-	e.hand(p, peer, model.ReasonSpill)
+	e.hand(p, peer, reason)
 	return true
 }
 
+// pickPeer returns who should have new work: an owner of this domain, or of another if none here can take it now.
+func (e *Engine) pickPeer(now model.Instant, s *service) (model.InstanceID, model.Reason) {
+	if !e.crowded(s) {
+		if peer := e.pickOwner(now, s.near, true); peer != "" {
+			return peer, model.ReasonBorrow
+		}
+	}
+	if peer := e.pickOwner(now, s.far, true); peer != "" {
+		return peer, model.ReasonSpill
+	}
+	if peer := e.pickOwner(now, s.near, false); peer != "" {
+		return peer, model.ReasonBorrow
+	}
+	return e.pickOwner(now, s.far, false), model.ReasonSpill
+}
+
 // crowded reports whether the domain's queue is long enough for other domains to help.
 func (e *Engine) crowded(s *service) bool {
 	return len(s.far) > 0 && s.waiting.Len() >= max(s.cfg.QueueLimit/2, 1)
--- a/internal/core/engine/service.go
+++ b/internal/core/engine/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"hawthorncourse/internal/core/choose"
 	"hawthorncourse/internal/core/model"
@@ -22,6 +23,9 @@
 	tags      map[model.UpstreamTag]*upstream
 	// near and far hold every slot with an owner, in this instance's domain and elsewhere.
 	near, far []slot
+	// neighbours holds the other owners of slots in this instance's domain, each once.
+	neighbours []model.InstanceID
+	busy       gauge
 	// mine is the number of slots that this instance owns.
 	mine   int
 	budget choose.Budget
@@ -83,7 +87,7 @@
 }
 
 func (e *Engine) indexOwners(s *service) {
-	s.near, s.far, s.mine = s.near[:0], s.far[:0], 0
+	s.near, s.far, s.neighbours, s.mine = s.near[:0], s.far[:0], s.neighbours[:0], 0
 	for _, up := range s.upstreams {
 		up.share = e.table.Share(up.cfg.ID)
 		if up.closed() {
@@ -96,6 +100,9 @@
 			}
 			if up.cfg.Domain == e.cfg.Self.Domain {
 				s.near = append(s.near, slot{up: up, n: n})
+				if id != e.cfg.Self.ID && !slices.Contains(s.neighbours, id) {
+					s.neighbours = append(s.neighbours, id)
+				}
 			} else {
 				s.far = append(s.far, slot{up: up, n: n})
 			}
@@ -103,22 +110,25 @@
 	}
 }
 
-// pickOwner returns the less loaded of two random owners of usable slots; this instance may be one of them.
-func (e *Engine) pickOwner(now model.Instant, slots []slot) model.InstanceID {
-	a, b := e.drawOwner(now, slots), e.drawOwner(now, slots)
-	if a == "" || (b != "" && e.loads[b] < e.loads[a]) {
+// pickOwner returns the less busy of two random owners, which may be this instance; open asks for slots that are usable now.
+func (e *Engine) pickOwner(now model.Instant, slots []slot, open bool) model.InstanceID {
+	a, b := e.drawOwner(now, slots, open), e.drawOwner(now, slots, open)
+	if a == "" || b == "" || a == b {
+		return max(a, b)
+	}
+	if e.busyAt(now, slots[0].up.service, b) < e.busyAt(now, slots[0].up.service, a) {
 		return b
 	}
 	return a
 }
 
-// drawOwner returns the owner of a random slot that may be used by all this instance knows, or none.
-func (e *Engine) drawOwner(now model.Instant, slots []slot) model.InstanceID {
+// drawOwner returns the owner of a random slot that takes work, or none; open asks that its hold-off is over, too.
+func (e *Engine) drawOwner(now model.Instant, slots []slot, open bool) model.InstanceID {
 	lease := e.doc.Timing.WarmLease
 	for range min(len(slots), drawLimit) {
 		sl := slots[e.rng.IntN(len(slots))]
 		switch {
-		case now < sl.up.pauseUntil:
+		case now < sl.up.pauseUntil || (open && !sl.up.share.Open(now, sl.n)):
 		case !sl.up.cold(now, lease):
 			return sl.up.share.Owners[sl.n]
 		case sl.n < sl.up.cfg.ColdSlots:
@@ -130,12 +140,3 @@
 
 // drawLimit bounds the tries to find a usable slot.
 const drawLimit = 16
-
-// load returns the requests here for each owned slot.
-func (s *service) load() float64 {
-	running := s.waiting.Len()
-	for _, up := range s.upstreams {
-		running += up.running
-	}
-	return float64(running) / float64(max(s.mine, 1))
-}
--- a/internal/core/engine/sight.go
+++ b/internal/core/engine/sight.go
@@ -18,9 +18,7 @@
 
 // Letter is what one instance tells one peer.
 type Letter struct {
-	Peer model.InstanceID
-	// Load is the sender's requests for each of its slots.
-	Load      float64
+	Peer      model.InstanceID
 	Sightings []Sighting
 }
 
@@ -35,7 +33,6 @@
 func (e *Engine) Letters(now model.Instant) []Letter {
 	byPeer := map[model.InstanceID]*Letter{}
 	var order []*Letter
-	load := e.load()
 	for _, up := range e.upstreams {
 		if up.heard == 0 || up.heard <= up.told || up.boot == 0 || up.share == nil {
 			continue
@@ -47,7 +44,7 @@
 			}
 			l := byPeer[peer]
 			if l == nil {
-				l = &Letter{Peer: peer, Load: load}
+				l = &Letter{Peer: peer}
 				byPeer[peer] = l
 				order = append(order, l)
 			}
@@ -77,19 +74,9 @@
 	}
 }
 
-// load returns the highest load of all services here.
-func (e *Engine) load() float64 {
-	top := 0.0
-	for _, s := range e.services {
-		top = max(top, s.load())
-	}
-	return top
-}
-
-// Hear takes a peer's letter; from is the peer.
-func (e *Engine) Hear(now model.Instant, from model.InstanceID, l Letter) []model.Action {
+// Hear takes a peer's letter.
+func (e *Engine) Hear(now model.Instant, l Letter) []model.Action {
 	e.begin(now)
-	e.loads[from] = l.Load
 	for _, s := range l.Sightings {
 		if up := e.upstreams[s.Upstream]; up != nil {
 			e.hearSighting(now, up, s)
--- a/internal/core/engine/tick.go
+++ b/internal/core/engine/tick.go
@@ -15,6 +15,7 @@
 		return e.actions
 	}
 	e.leave(now)
+	e.markLoads(now)
 	for _, s := range e.services {
 		e.expireChecks(now, s)
 		e.expireDeadlines(now, s)
--- a/internal/core/units/units.go
+++ b/internal/core/units/units.go
@@ -2,6 +2,7 @@
 package units
 
 import (
+	"slices"
 	"time"
 
 	"hawthorncourse/internal/core/model"
@@ -25,8 +26,13 @@
 type Share struct {
 	// Owners holds the owner of each slot; it is empty while nobody may own them.
 	Owners []model.InstanceID
+	// usable holds, for each slot, from when its owner may use it by all that is known here.
+	usable []model.Instant
 	// mine maps a slot of this instance to the instant from which it is usable.
 	mine map[int]model.Instant
+	// waits holds those instants in order; the first ready of them have passed.
+	waits []model.Instant
+	ready int
 }
 
 // View is what ownership is computed from.
@@ -72,6 +78,7 @@
 func (t *Table) Forget() {
 	for _, s := range t.shares {
 		clear(s.mine)
+		s.waits, s.ready = nil, 0
 	}
 }
 
@@ -82,8 +89,13 @@
 	}
 	old := t.shares[up.ID]
 	s.Owners = make([]model.InstanceID, up.Slots)
+	s.usable = make([]model.Instant, up.Slots)
 	for n := range s.Owners {
 		s.Owners[n], _ = rendez.First(rendez.KeyOf(string(up.ID), n), pool)
+		s.usable[n] = now.Add(holdOff)
+		if old.ownedBy(n, s.Owners[n]) {
+			s.usable[n] = old.usable[n]
+		}
 		if s.Owners[n] != t.cfg.Self {
 			continue
 		}
@@ -91,10 +103,21 @@
 		if usable, held := old.since(n); held {
 			s.mine[n] = usable
 		}
+		s.waits = append(s.waits, s.mine[n])
 	}
+	slices.Sort(s.waits)
 	return s
 }
 
+func (s *Share) ownedBy(n int, id model.InstanceID) bool {
+	return s != nil && n < len(s.Owners) && s.Owners[n] == id
+}
+
+// Open reports whether the owner of the slot may use it by all that is known here.
+func (s *Share) Open(now model.Instant, n int) bool {
+	return s.usable[n] <= now
+}
+
 func (s *Share) since(n int) (model.Instant, bool) {
 	if s == nil {
 		return 0, false
@@ -103,15 +126,12 @@
 	return usable, held
 }
 
-// Usable returns how many slots this instance may use now.
+// Usable returns how many slots this instance may use now; now must not fall from call to call.
 func (s *Share) Usable(now model.Instant) int {
-	n := 0
-	for _, usable := range s.mine {
-		if usable <= now {
-			n++
-		}
+	for s.ready < len(s.waits) && s.waits[s.ready] <= now {
+		s.ready++
 	}
-	return n
+	return s.ready
 }
 
 // Mine returns how many slots this instance owns, usable or not.
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -43,7 +43,11 @@
 	// Offer takes an object that a peer has in force.
 	Offer(kind Kind, version model.Version, body []byte)
 	// Hear takes a peer's letter.
-	Hear(from model.InstanceID, l engine.Letter)
+	Hear(l engine.Letter)
+	// Loads returns how busy this instance is.
+	Loads() []engine.Load
+	// HearLoads takes what a peer says of how busy it is.
+	HearLoads(from model.InstanceID, loads []engine.Load)
 	// Learn takes a peer's word of flows.
 	Learn(copies []engine.FlowCopy)
 	// MembersChanged takes the members after any change.
@@ -156,7 +160,7 @@
 
 // Tell sends a letter to a peer.
 func (m *Mesh) Tell(ctx context.Context, l engine.Letter) error {
-	return m.callPeer(ctx, l.Peer, "Tell", letterToWire(m.cfg.Member.Self.ID, l))
+	return m.callPeer(ctx, l.Peer, "Tell", letterToWire(l))
 }
 
 // Copy tells a peer where flows sit.
@@ -233,7 +237,7 @@
 
 // ping probes an instance and exchanges word with it.
 func (m *Mesh) ping(ctx context.Context, target model.Member) error {
-	args := PingArgs{Versions: m.versions()}
+	args := PingArgs{Versions: m.versions(), Loads: loadsToWire(m.cfg.Host.Loads())}
 	m.mu.Lock()
 	args.From, args.News = toWire(m.list.Self()), toWireAll(m.list.News(newsPerCall))
 	patience := m.list.Patience()
@@ -247,6 +251,7 @@
 	m.list.Learn(m.now(), fromWireAll(reply.News))
 	m.mu.Unlock()
 	m.report()
+	m.cfg.Host.HearLoads(target.ID, loadsFromWire(reply.Loads))
 	m.compare(target, reply.Versions)
 	return nil
 }
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -50,7 +50,8 @@
 	m.list.Heard(m.now(), model.InstanceID(args.From.ID))
 	reply.News = toWireAll(append(m.list.News(newsPerCall), m.mine(args.From)...))
 	m.mu.Unlock()
-	reply.Versions = m.versions()
+	reply.Versions, reply.Loads = m.versions(), loadsToWire(m.cfg.Host.Loads())
+	m.cfg.Host.HearLoads(model.InstanceID(args.From.ID), loadsFromWire(args.Loads))
 	m.report()
 	for _, peer := range from {
 		m.compare(peer, args.Versions)
@@ -90,7 +91,7 @@
 
 // Tell takes a letter about upstreams.
 func (c *calls) Tell(args TellArgs, _ *Done) error {
-	c.m.cfg.Host.Hear(model.InstanceID(args.From), letterFromWire(args))
+	c.m.cfg.Host.Hear(letterFromWire(args))
 	return nil
 }
 
--- a/internal/peer/mesh/wire.go
+++ b/internal/peer/mesh/wire.go
@@ -23,12 +23,20 @@
 	News []Member
 	// Versions are those of the objects in force at the sender, by kind.
 	Versions [kindCount]uint64
+	Loads    []Load
+}
+
+// Load is how busy an instance's slots of one service are.
+type Load struct {
+	Service string
+	Busy    float32
 }
 
 // PingReply is the answer to a probe.
 type PingReply struct {
 	News     []Member
 	Versions [kindCount]uint64
+	Loads    []Load
 }
 
 // HelpArgs asks an instance to probe another.
@@ -55,8 +63,6 @@
 
 // TellArgs is one letter about upstreams.
 type TellArgs struct {
-	From      string
-	Load      float64
 	Sightings []Sighting
 }
 
@@ -126,8 +132,8 @@
 	return out
 }
 
-func letterToWire(from model.InstanceID, l engine.Letter) TellArgs {
-	args := TellArgs{From: string(from), Load: l.Load}
+func letterToWire(l engine.Letter) TellArgs {
+	var args TellArgs
 	for _, s := range l.Sightings {
 		args.Sightings = append(args.Sightings, Sighting{
 			Upstream: string(s.Upstream),
@@ -140,7 +146,7 @@
 }
 
 func letterFromWire(args TellArgs) engine.Letter {
-	l := engine.Letter{Load: args.Load}
+	var l engine.Letter
 	for _, s := range args.Sightings {
 		l.Sightings = append(l.Sightings, engine.Sighting{
 			Upstream: model.UpstreamID(s.Upstream),
@@ -152,6 +158,22 @@
 	return l
 }
 
+func loadsToWire(loads []engine.Load) []Load {
+	out := make([]Load, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, Load{Service: string(l.Service), Busy: float32(l.Busy)})
+	}
+	return out
+}
+
+func loadsFromWire(loads []Load) []engine.Load {
+	out := make([]engine.Load, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, engine.Load{Service: model.ServiceID(l.Service), Busy: float64(l.Busy)})
+	}
+	return out
+}
+
 func copiesToWire(copies []engine.FlowCopy) CopyArgs {
 	var args CopyArgs
 	for _, c := range copies {
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -56,6 +56,8 @@
 	services atomic.Pointer[map[netip.AddrPort]model.Kind]
 	// listed tells which domains the platform's list shows alive, and whether it was read at all.
 	listed atomic.Pointer[listing]
+	// loads is how busy this instance last was.
+	loads atomic.Pointer[[]engine.Load]
 	// hands maps peers to the addresses for packets; only the decide duty uses it.
 	hands map[model.InstanceID]netip.AddrPort
 
@@ -103,7 +105,8 @@
 	if seed == 0 {
 		seed = uint64(e.self.Boot)
 	}
-	e.engine = engine.New(engine.Config{Self: e.self, Start: e.start, Seed: seed, StreamLimit: cfg.StreamLimit})
+	policy, _ := engine.PolicyOf(cfg.Policy)
+	e.engine = engine.New(engine.Config{Self: e.self, Start: e.start, Seed: seed, StreamLimit: cfg.StreamLimit, Policy: policy})
 	e.mesh = mesh.New(mesh.Config{
 		Listener: e.control,
 		Member:   member.Config{Self: e.self, Detection: startTiming, Seed: seed},
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -47,8 +47,22 @@
 }
 
 // Hear implements mesh.Host.
-func (e *Entry) Hear(from model.InstanceID, l engine.Letter) {
-	e.do(func(now model.Instant) { e.act(e.engine.Hear(now, from, l)) })
+func (e *Entry) Hear(l engine.Letter) {
+	e.do(func(now model.Instant) { e.act(e.engine.Hear(now, l)) })
+}
+
+// Loads implements mesh.Host.
+func (e *Entry) Loads() []engine.Load {
+	loads := e.loads.Load()
+	if loads == nil {
+		return nil
+	}
+	return *loads
+}
+
+// HearLoads implements mesh.Host.
+func (e *Entry) HearLoads(from model.InstanceID, loads []engine.Load) {
+	e.do(func(model.Instant) { e.engine.HearLoads(from, loads) })
 }
 
 // Learn implements mesh.Host.
@@ -85,7 +99,11 @@
 // share tells co-owners of upstreams what was heard of them, and homes where flows sit.
 func (e *Entry) share(ctx context.Context) error {
 	for ctx.Err() == nil {
-		e.do(func(now model.Instant) { e.post(e.engine.Letters(now), e.engine.Copies(copiesPerShare)) })
+		e.do(func(now model.Instant) {
+			loads := e.engine.Loads(now)
+			e.loads.Store(&loads)
+			e.post(e.engine.Letters(now), e.engine.Copies(copiesPerShare))
+		})
 		sleep(ctx, shareInterval)
 	}
 	return nil
