--- a/internal/bench/fleet/setup.go
+++ b/internal/bench/fleet/setup.go
@@ -24,6 +24,8 @@
 	Slowest float64
 	// NoticeEvery is the time between notifications of a stream.
 	NoticeEvery time.Duration
+	// Ghosts is the number of upstreams that stand in the document only.
+	Ghosts int
 	// Duplicate is the share of callers' packets that the fabric doubles.
 	Duplicate float64
 	// Timing of the document; zero values are left to their defaults.
@@ -191,10 +193,45 @@
 		}
 		doc.Services = append(doc.Services, ws)
 	}
+	doc.Services = append(doc.Services, f.ghosts()...)
 	text, _ := json.MarshalIndent(doc, "", "\t")
 	return text
 }
 
+const (
+	// ghostsEach is the number of upstreams behind one address.
+	ghostsEach = 11
+	ghostGroup = 150
+	hostsEach  = 250
+)
+
+// ghosts returns services whose upstreams do not exist.
+func (f *Fleet) ghosts() []wireService {
+	var out []wireService
+	for n := range f.cfg.Setup.Ghosts {
+		if n%ghostsEach == 0 {
+			out = append(out, wireService{
+				ID:              fmt.Sprintf("ghost-%d", n/ghostsEach),
+				Kind:            "coap",
+				Address:         f.addr(0, 200, portService+1+n/ghostsEach).String(),
+				RequestTimeout:  f.cfg.Setup.RequestTimeout.String(),
+				RefreshInterval: f.cfg.Setup.Refresh.String(),
+			})
+		}
+		svc := &out[len(out)-1]
+		svc.Upstreams = append(svc.Upstreams, wireUpstream{
+			ID:          fmt.Sprintf("ghost-%d", n),
+			Domain:      string(f.cfg.Setup.domainOf(n)),
+			Address:     f.addr(ghostGroup+n/hostsEach, 1+n%hostsEach, portUpstream).String(),
+			Slots:       ikirereSlots,
+			Connections: connections,
+			ColdSlots:   coldShareOfSlots,
+			ColdFor:     f.cfg.Setup.ColdFor.String(),
+		})
+	}
+	return out
+}
+
 func (f *Fleet) wireUpstream(svc Service, n, node int) wireUpstream {
 	s := f.cfg.Setup
 	addr, err := f.wire(RoleUpstream, upstreamName(svc, n), f.Nodes[node].Address())
--- a/internal/bench/tools/balance.go
+++ b/internal/bench/tools/balance.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	for _, policy := range strings.Split(c.policies, ",") {
 		if err := c.measure(ctx, dir, policy); err != nil {
 			return fail(err)
--- /dev/null
+++ b/internal/bench/tools/slopes.go
@@ -0,0 +1,202 @@
+package tools
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/prometheus/procfs"
+
+	"hawthorncourse/internal/bench/drive"
+	"hawthorncourse/internal/bench/fleet"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/oper/change"
+)
+
+// slopesCommand measures what one node spends on control, against the number of peers and of upstreams.
+type slopesCommand struct {
+	peers   string
+	ghosts  string
+	seconds int
+	load    bool
+	changes int
+	seed    uint64
+}
+
+// Name implements subcommands.Command.
+func (*slopesCommand) Name() string { return "slopes" }
+
+// Synopsis implements subcommands.Command.
+func (*slopesCommand) Synopsis() string { return "measure what a node spends on control" }
+
+// Usage implements subcommands.Command.
+func (*slopesCommand) Usage() string {
+	return "slopes [-peers LIST] [-ghosts LIST] [-changes N] [-load]\n  Print bytes, processor time and memory a node for each pair of sizes.\n"
+}
+
+const (
+	slopeSettle    = 10 * time.Second
+	slopeThink     = 2 * time.Millisecond
+	slopeCallers   = 20
+	slopeStartTime = 2 * time.Minute
+)
+
+// SetFlags implements subcommands.Command.
+func (c *slopesCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.peers, "peers", "7,14,28,56,112", "numbers of instances")
+	f.StringVar(&c.ghosts, "ghosts", "0", "numbers of further upstreams in the document")
+	f.IntVar(&c.seconds, "seconds", 10, "seconds to measure each for")
+	f.IntVar(&c.changes, "changes", 0, "changes of the document while measuring")
+	f.BoolVar(&c.load, "load", false, "let callers work while measuring")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of every random choice")
+}
+
+// Execute implements subcommands.Command.
+func (c *slopesCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	peers, err := numbers(c.peers)
+	if err != nil {
+		return fail(err)
+	}
+	ghosts, err := numbers(c.ghosts)
+	if err != nil {
+		return fail(err)
+	}
+	fmt.Println("instances upstreams   in B/s  out B/s  cpu %   RSS MB  platform calls/s  in force")
+	for _, n := range peers {
+		for _, g := range ghosts {
+			if err := c.measure(ctx, n, g); err != nil {
+				return fail(err)
+			}
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+func numbers(list string) ([]int, error) {
+	var out []int
+	for _, word := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(word)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
+
+// usage is what all nodes used up so far.
+type usage struct {
+	in, out int64
+	cpu     float64
+	rss     int
+	calls   int
+}
+
+func (c *slopesCommand) measure(ctx context.Context, peers, ghosts int) error {
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary, err := program(ctx, dir)
+	if err != nil {
+		return err
+	}
+	if binary, err = filepath.Abs(binary); err != nil {
+		return err
+	}
+	setup := fleet.Regie()
+	setup.Instances, setup.Ghosts = peers, ghosts
+	f, err := fleet.Start(ctx, fleet.Config{Setup: setup, Binary: binary, Dir: dir, Seed: c.seed, LogLevel: "warning"})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	startCtx, cancel := context.WithTimeout(ctx, slopeStartTime)
+	defer cancel()
+	if err := f.AwaitVersion(startCtx, 1); err != nil {
+		return err
+	}
+	if c.load {
+		load, err := drive.Start(drive.Config{Fleet: f, Streams: slopeCallers, Bookers: slopeCallers, Readers: slopeCallers, Think: slopeThink, Refresh: time.Second, Seed: c.seed})
+		if err != nil {
+			return err
+		}
+		defer load.Stop()
+	}
+	time.Sleep(slopeSettle)
+	return c.print(ctx, f, peers, ghosts)
+}
+
+func (c *slopesCommand) print(ctx context.Context, f *fleet.Fleet, peers, ghosts int) error {
+	before, err := used(ctx, f)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	slowest, err := c.change(ctx, f)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(c.seconds)*time.Second - time.Since(began))
+	after, err := used(ctx, f)
+	if err != nil {
+		return err
+	}
+	span := time.Since(began).Seconds()
+	each := span * float64(peers)
+	fmt.Printf("%9d %9d %8.0f %8.0f %6.2f %8.1f %17.1f %9s\n",
+		peers, len(f.Nodes)+ghosts,
+		float64(after.in-before.in)/each, float64(after.out-before.out)/each,
+		100*(after.cpu-before.cpu)/each, float64(after.rss)/float64(peers)/(1<<20),
+		float64(after.calls-before.calls)/span, slowest.Round(time.Millisecond))
+	return nil
+}
+
+// change edits the document a few times and returns the longest time until one was in force everywhere.
+func (c *slopesCommand) change(ctx context.Context, f *fleet.Fleet) (slowest time.Duration, err error) {
+	for n := range c.changes {
+		began := time.Now()
+		v, err := f.Edit(ctx, func(d change.Draft) ([]byte, error) {
+			return change.SetLeaving(d, model.UpstreamID(f.Nodes[0].Name()), n%2 == 0, "")
+		})
+		if err != nil {
+			return 0, err
+		}
+		if err := f.AwaitVersion(ctx, v); err != nil {
+			return 0, err
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	return slowest, nil
+}
+
+func used(ctx context.Context, f *fleet.Fleet) (u usage, err error) {
+	for _, in := range f.Instances {
+		w, err := in.Status(ctx)
+		if err != nil {
+			return u, err
+		}
+		u.in += w.Counter("mesh.bytes_in")
+		u.out += w.Counter("mesh.bytes_out")
+		proc, err := procfs.NewProc(in.PID())
+		if err != nil {
+			return u, err
+		}
+		stat, err := proc.Stat()
+		if err != nil {
+			return u, err
+		}
+		u.cpu += stat.CPUTime()
+		u.rss += stat.ResidentMemory()
+	}
+	reads, writes := f.Store.Calls()
+	u.calls = reads + writes
+	return u, nil
+}
--- a/internal/bench/tools/tools.go
+++ b/internal/bench/tools/tools.go
@@ -18,6 +18,7 @@
 	c.Register(c.CommandsCommand(), "")
 	c.Register(&demoCommand{}, "")
 	c.Register(&balanceCommand{}, "")
+	c.Register(&slopesCommand{}, "")
 }
 
 func fail(err error) subcommands.ExitStatus {
--- /dev/null
+++ b/internal/conf/setup/console.go
@@ -0,0 +1,64 @@
+package setup
+
+import (
+	"net/netip"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"hawthorncourse/internal/conf/reader"
+)
+
+// Console is the settings of the operators' console.
+type Console struct {
+	// Listen is where the console is served; on loopback if not given.
+	Listen netip.AddrPort
+	// Platform is the URL of the platform's object API.
+	Platform string
+	// Admin holds the admin addresses of instances.
+	Admin []string
+	// Token is the operators' password, of at least minToken bytes.
+	Token string
+}
+
+const minToken = 12
+
+var defaultConsole = netip.MustParseAddrPort("127.0.0.1:7800")
+
+// LoadConsole reads the console's settings in the file.
+func LoadConsole(path string) (cfg Console, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "settings %s", path)
+		}
+	}()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Console{}, err
+	}
+	return ParseConsole(text)
+}
+
+// ParseConsole reads the console's settings; the error holds every fault with its line.
+func ParseConsole(text []byte) (Console, error) {
+	cfg := Console{Listen: defaultConsole}
+	faults := reader.Read(text, reader.Shape{
+		"listen":   reader.Address(&cfg.Listen),
+		"platform": reader.Text(&cfg.Platform),
+		"token":    reader.Text(&cfg.Token),
+		"admin": func(f reader.Field) {
+			f.Array(func(f reader.Field) {
+				var addr netip.AddrPort
+				reader.Address(&addr)(f)
+				cfg.Admin = append(cfg.Admin, addr.String())
+			})
+		},
+	})
+	if cfg.Platform == "" {
+		faults = append(faults, reader.Fault{Line: 1, Field: "platform", Reason: "is missing"})
+	}
+	if len(cfg.Token) < minToken {
+		faults = append(faults, reader.Fault{Line: 1, Field: "token", Reason: "must have at least 12 bytes"})
+	}
+	return cfg, faults.Err()
+}
--- a/internal/core/engine/exchange.go
+++ b/internal/core/engine/exchange.go
@@ -56,14 +56,15 @@
 // start places a new exchange: on a free slot of this instance, at a peer, or in the queue.
 func (e *Engine) start(now model.Instant, x *exchange) {
 	s := x.service
-	keep := x.entry != nil || x.packet.Hops > 0 || e.idle(now, s)
-	if keep && s.waiting.Len() == 0 && e.place(now, x) {
+	bound := x.entry != nil
+	keep := bound || x.packet.Hops > 0 || e.idle(now, s)
+	if keep && e.placeFirst(now, x) {
 		return
 	}
-	if x.entry == nil && e.placeElsewhere(now, s, x.packet) {
+	if !bound && e.placeElsewhere(now, s, x.packet) {
 		return
 	}
-	if !keep && s.waiting.Len() == 0 && e.place(now, x) {
+	if !keep && e.placeFirst(now, x) {
 		return
 	}
 	if s.mine == 0 {
@@ -78,6 +79,11 @@
 	s.waiting.Push(x)
 }
 
+// placeFirst forwards the exchange unless others wait before it.
+func (e *Engine) placeFirst(now model.Instant, x *exchange) bool {
+	return x.service.waiting.Len() == 0 && e.place(now, x)
+}
+
 // place forwards the exchange to a free upstream; it reports false when none is free.
 func (e *Engine) place(now model.Instant, x *exchange) bool {
 	lease := e.doc.Timing.WarmLease
--- a/internal/core/engine/flow.go
+++ b/internal/core/engine/flow.go
@@ -39,8 +39,8 @@
 
 // flowPacket decides on an opaque datagram: known flows go on, others go to their home.
 func (e *Engine) flowPacket(now model.Instant, s *service, p *model.Packet) {
-	if f := e.flows.flows.Use(now, p.Flow); f != nil && e.standing(f.up) && f.fresh() {
-		e.relay(now, p, f.up)
+	if up := e.knownFlow(now, s, p); up != nil {
+		e.relay(now, p, up)
 		return
 	}
 	first, second := e.homePair(p.Flow)
@@ -55,6 +55,17 @@
 	e.placeFlow(now, s, p)
 }
 
+// knownFlow returns the upstream of a flow that this instance or the peer that handed it knows, or nil.
+func (e *Engine) knownFlow(now model.Instant, s *service, p *model.Packet) *upstream {
+	if f := e.flows.flows.Use(now, p.Flow); f != nil && e.standing(f.up) && f.fresh() {
+		return f.up
+	}
+	if up := e.upstreams[p.Toward]; up != nil && up.service == s && e.standing(up) {
+		return up
+	}
+	return nil
+}
+
 // fresh reports whether the upstream has not restarted since the flow was placed.
 func (f *flow) fresh() bool {
 	return f.boot == 0 || f.up.boot == 0 || f.boot == f.up.boot
@@ -104,7 +115,7 @@
 // flowAnswer relays a datagram of an upstream to the flow's caller.
 func (e *Engine) flowAnswer(now model.Instant, a *model.Answer, up *upstream) {
 	f := e.flows.flows.Use(now, a.Flow)
-	if f == nil || f.up != up {
+	if f != nil && f.up != up {
 		e.lose(a, model.ReasonAnswerUnexpected)
 		return
 	}
--- a/internal/core/engine/service.go
+++ b/internal/core/engine/service.go
@@ -95,17 +95,22 @@
 		}
 		s.mine += up.share.Mine()
 		for n, id := range up.share.Owners {
-			if id == e.cfg.Self.ID && e.stopAt != 0 {
-				continue
-			}
-			if up.cfg.Domain == e.cfg.Self.Domain {
-				s.near = append(s.near, slot{up: up, n: n})
-				if id != e.cfg.Self.ID && !slices.Contains(s.neighbours, id) {
-					s.neighbours = append(s.neighbours, id)
-				}
-			} else {
-				s.far = append(s.far, slot{up: up, n: n})
-			}
+			e.indexOwner(s, slot{up: up, n: n}, id)
+		}
+	}
+}
+
+// indexOwner takes note of who owns one slot; a stopping instance leaves out its own.
+func (e *Engine) indexOwner(s *service, sl slot, id model.InstanceID) {
+	self := id == e.cfg.Self.ID
+	switch {
+	case self && e.stopAt != 0:
+	case sl.up.cfg.Domain != e.cfg.Self.Domain:
+		s.far = append(s.far, sl)
+	default:
+		s.near = append(s.near, sl)
+		if !self && !slices.Contains(s.neighbours, id) {
+			s.neighbours = append(s.neighbours, id)
 		}
 	}
 }
--- a/internal/core/engine/sticky.go
+++ b/internal/core/engine/sticky.go
@@ -71,6 +71,7 @@
 	}
 	prober := up.share.Prober()
 	if prober != e.cfg.Self.ID && prober != "" && p.Hops < model.MaxHops {
+		p.Toward = up.cfg.ID
 		e.hand(p, prober, model.ReasonUpstreamSilent)
 		return
 	}
--- a/internal/core/model/packet.go
+++ b/internal/core/model/packet.go
@@ -54,6 +54,8 @@
 	Part uint32
 	// Hops counts the instances that handed the packet on; at most MaxHops.
 	Hops uint8
+	// Toward is the upstream that a peer found for the packet's flow; empty for none.
+	Toward UpstreamID
 	// Raw is the datagram as received; it is never changed.
 	Raw []byte
 }
--- a/internal/oper/change/change.go
+++ b/internal/oper/change/change.go
@@ -77,11 +77,7 @@
 
 // Submit writes text as the successor of base; base has version zero for the first document.
 func Submit(ctx context.Context, p Platform, base Draft, text []byte, author string) (v model.Version, err error) {
-	doc, err := config.Parse(text)
-	if err != nil {
-		return 0, err
-	}
-	if err := checkSuccession(base.Document, doc); err != nil {
+	if _, err := Check(base, text); err != nil {
 		return 0, err
 	}
 	id := rand.Text()
@@ -92,6 +88,15 @@
 	return write(ctx, p, base.Version, body, id)
 }
 
+// Check returns the document that text holds if it may follow base.
+func Check(base Draft, text []byte) (*model.Document, error) {
+	doc, err := config.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return doc, checkSuccession(base.Document, doc)
+}
+
 // write makes the conditional update until it is known to have taken effect or not.
 func write(ctx context.Context, p Platform, at model.Version, body []byte, id string) (model.Version, error) {
 	for {
--- a/internal/oper/change/edit.go
+++ b/internal/oper/change/edit.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
 
-	"hawthorncourse/internal/conf/config"
 	"hawthorncourse/internal/core/model"
 )
 
@@ -54,35 +52,34 @@
 
 // SetOut returns the text with a failure domain taken out or brought back.
 func SetOut(d Draft, id model.DomainID, out bool, note string) ([]byte, error) {
-	for n, dom := range d.Document.Domains {
-		if dom.ID == id {
-			return edit(d.Text, fmt.Sprintf("/domains/%d", n), "out", out, note)
-		}
+	if _, known := d.Document.Domain(id); !known {
+		return nil, eris.Errorf("failure domain %q is not in the document", id)
 	}
-	return nil, eris.Errorf("failure domain %q is not in the document", id)
+	return Edit{Kind: KindDomain, ID: string(id), Fields: withNote("out", out, note)}.Apply(d)
 }
 
 // SetLeaving returns the text with an upstream leaving or taken back.
 func SetLeaving(d Draft, id model.UpstreamID, leaving bool, note string) ([]byte, error) {
-	for n, s := range d.Document.Services {
-		for k, u := range s.Upstreams {
+	for _, s := range d.Document.Services {
+		for _, u := range s.Upstreams {
 			if u.ID == id {
-				return edit(d.Text, fmt.Sprintf("/services/%d/upstreams/%d", n, k), "leaving", leaving, note)
+				return Edit{Kind: KindUpstream, ID: string(id), Service: s.ID, Fields: withNote("leaving", leaving, note)}.Apply(d)
 			}
 		}
 	}
 	return nil, eris.Errorf("upstream %q is not in the document", id)
 }
 
-func edit(text []byte, path, field string, value bool, note string) ([]byte, error) {
-	patches := []patch{{Op: "add", Path: path + "/" + field, Value: value}}
+func withNote(name string, value bool, note string) []Field {
+	fields := []Field{{Name: name, Value: value}}
 	if note != "" {
-		patches = append(patches, patch{Op: "add", Path: path + "/note", Value: note})
-	}
-	out, err := apply(text, patches...)
-	if err != nil {
-		return nil, err
+		fields = append(fields, Field{Name: "note", Value: note})
 	}
-	_, err = config.Parse(out)
-	return out, err
+	return fields
+}
+
+// has reports whether the text has a value at the path.
+func has(text []byte, path string) bool {
+	value, err := hujson.Parse(text)
+	return err == nil && value.Find(path) != nil
 }
--- /dev/null
+++ b/internal/oper/forms/edit.go
@@ -0,0 +1,140 @@
+package forms
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/oper/change"
+)
+
+// inputKind is how a field is typed in.
+type inputKind uint8
+
+const (
+	inputText inputKind = iota
+	inputNumber
+	inputFlag
+)
+
+// input is one field of a form.
+type input struct {
+	Name, Label, Hint string
+	kind              inputKind
+	Value             string
+}
+
+// Flag reports whether the field is a box to tick.
+func (i input) Flag() bool { return i.kind == inputFlag }
+
+// inputs holds the fields of each kind of entry.
+var inputs = map[change.Kind][]input{
+	change.KindDomain: {
+		{Name: "region", Label: "Region"},
+		{Name: "out", Label: "Taken out", kind: inputFlag},
+		{Name: "note", Label: "Note", Hint: "why it is as it is"},
+	},
+	change.KindService: {
+		{Name: "kind", Label: "Kind", Hint: "coap or datagram"},
+		{Name: "address", Label: "Address", Hint: "IP address and port"},
+		{Name: "requestTimeout", Label: "Request timeout", Hint: "such as 2s"},
+		{Name: "refreshInterval", Label: "Refresh interval", Hint: "such as 10s"},
+		{Name: "queueLimit", Label: "Queue limit", Hint: "requests", kind: inputNumber},
+		{Name: "retryPercent", Label: "Retry budget", Hint: "percent of first tries", kind: inputNumber},
+		{Name: "note", Label: "Note", Hint: "why it is as it is"},
+	},
+	change.KindUpstream: {
+		{Name: "domain", Label: "Failure domain"},
+		{Name: "address", Label: "Address", Hint: "IP address and port"},
+		{Name: "health", Label: "Health address", Hint: "IP address and port, or empty"},
+		{Name: "slots", Label: "Slots", Hint: "requests at once", kind: inputNumber},
+		{Name: "connections", Label: "Connections", Hint: "streams at once", kind: inputNumber},
+		{Name: "coldSlots", Label: "Cold slots", Hint: "requests at once in cold start", kind: inputNumber},
+		{Name: "coldConnections", Label: "Cold connections", Hint: "streams opened in cold start", kind: inputNumber},
+		{Name: "coldFor", Label: "Cold for", Hint: "such as 30s"},
+		{Name: "leaving", Label: "Leaving", kind: inputFlag},
+		{Name: "note", Label: "Note", Hint: "why it is as it is"},
+	},
+}
+
+// editPage is the form of one entry.
+type editPage struct {
+	Kind    change.Kind
+	ID      string
+	Service model.ServiceID
+	New     bool
+	Inputs  []input
+	Error   string
+}
+
+func (c *Console) edit(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	page := editPage{Kind: change.Kind(q.Get("kind")), ID: q.Get("id"), Service: model.ServiceID(q.Get("service"))}
+	if inputs[page.Kind] == nil {
+		http.NotFound(w, r)
+		return
+	}
+	d, err := change.Read(r.Context(), c.cfg.Platform)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	values := change.Values(d, page.Kind, page.ID)
+	page.New = page.ID == ""
+	page.Inputs = fill(page.Kind, func(name string) string { return values[name] })
+	c.show(w, "edit", page)
+}
+
+// fill returns the fields of a kind with their values.
+func fill(kind change.Kind, value func(string) string) []input {
+	out := make([]input, 0, len(inputs[kind]))
+	for _, in := range inputs[kind] {
+		in.Value = value(in.Name)
+		out = append(out, in)
+	}
+	return out
+}
+
+// editOf returns the edit that a form asks for.
+func editOf(form url.Values) (e change.Edit, err error) {
+	e = change.Edit{
+		Kind:    change.Kind(form.Get("kind")),
+		ID:      form.Get("id"),
+		Service: model.ServiceID(form.Get("service")),
+		Remove:  form.Get("remove") != "",
+	}
+	if inputs[e.Kind] == nil || e.ID == "" {
+		return e, eris.New("the form names no entry; give it an id")
+	}
+	for _, in := range inputs[e.Kind] {
+		value, err := in.read(form.Get(in.Name))
+		if err != nil {
+			return e, err
+		}
+		e.Fields = append(e.Fields, change.Field{Name: in.Name, Value: value})
+	}
+	return e, nil
+}
+
+// read returns the value of the field as the document writes it; nil for none.
+func (i input) read(text string) (change.Value, error) {
+	switch {
+	case i.kind == inputFlag && text == "":
+		return nil, nil
+	case i.kind == inputFlag:
+		return true, nil
+	case text == "":
+		return nil, nil
+	case i.kind == inputNumber:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return nil, eris.Errorf("%s must be a whole number, not %q", i.Label, text)
+		}
+		return n, nil
+	default:
+		return text, nil
+	}
+}
--- /dev/null
+++ b/internal/oper/forms/send.go
@@ -0,0 +1,161 @@
+package forms
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/oper/change"
+)
+
+const (
+	forcePause = 200 * time.Millisecond
+	forceWait  = 5 * time.Second
+)
+
+// reviewPage shows what a change does before it is sent.
+type reviewPage struct {
+	Form        url.Values
+	Base        model.Version
+	Differences []change.Difference
+	Effects     []change.Effect
+	Grave       bool
+	// Conflict tells who was first, if somebody was.
+	Conflict string
+	Error    string
+	Edit     editPage
+}
+
+// sentPage tells what became of a change.
+type sentPage struct {
+	Version model.Version
+	Force   inForce
+}
+
+func (c *Console) review(w http.ResponseWriter, r *http.Request) {
+	if err := r.ParseForm(); err != nil {
+		http.Error(w, "The form cannot be read.", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	c.show(w, "review", c.prepare(ctx, r.PostForm, ""))
+}
+
+// prepare returns the review of the form's change against what is in force now.
+func (c *Console) prepare(ctx context.Context, form url.Values, conflict string) reviewPage {
+	page := reviewPage{Form: kept(form), Conflict: conflict, Edit: editAgain(form)}
+	d, text, err := c.draft(ctx, form)
+	if err != nil {
+		page.Error = err.Error()
+		return page
+	}
+	next, err := change.Check(d, text)
+	if err != nil {
+		page.Error = err.Error()
+		return page
+	}
+	page.Base = d.Version
+	page.Differences = change.Diff(d.Document, next)
+	page.Effects = change.Effects(d.Document, next, c.ask(ctx, d.Version).streams)
+	for _, e := range page.Effects {
+		page.Grave = page.Grave || e.Grave
+	}
+	return page
+}
+
+// draft returns the document in force and the text that the form makes of it.
+func (c *Console) draft(ctx context.Context, form url.Values) (change.Draft, []byte, error) {
+	d, err := change.Read(ctx, c.cfg.Platform)
+	if err != nil {
+		return d, nil, err
+	}
+	e, err := editOf(form)
+	if err != nil {
+		return d, nil, err
+	}
+	text, err := e.Apply(d)
+	return d, text, err
+}
+
+func (c *Console) send(w http.ResponseWriter, r *http.Request) {
+	if err := r.ParseForm(); err != nil {
+		http.Error(w, "The form cannot be read.", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	author, _, _ := r.BasicAuth()
+	v, err := c.submit(ctx, r.PostForm, author)
+	var conflict *change.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		w.WriteHeader(http.StatusConflict)
+		c.show(w, "review", c.prepare(ctx, r.PostForm, conflict.Error()))
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+		c.show(w, "review", reviewPage{Form: kept(r.PostForm), Error: err.Error(), Edit: editAgain(r.PostForm)})
+	default:
+		c.cfg.Log.With("version", v).With("author", author).Info("A document was sent.")
+		c.show(w, "sent", sentPage{Version: v, Force: c.awaitForce(ctx, v)})
+	}
+}
+
+// submit sends the form's change if the document is still the one that was reviewed.
+func (c *Console) submit(ctx context.Context, form url.Values, author string) (model.Version, error) {
+	d, text, err := c.draft(ctx, form)
+	if err != nil {
+		return 0, err
+	}
+	if strconv.FormatUint(uint64(d.Version), 10) != form.Get("base") {
+		return 0, &change.ConflictError{Current: d}
+	}
+	next, err := change.Check(d, text)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range change.Effects(d.Document, next, nil) {
+		if e.Grave && form.Get("confirm") == "" {
+			return 0, errors.New(e.Text + " Tick the box to send it all the same")
+		}
+	}
+	return change.Submit(ctx, c.cfg.Platform, d, text, author)
+}
+
+// awaitForce waits a little until every instance that answers has the version.
+func (c *Console) awaitForce(ctx context.Context, v model.Version) inForce {
+	deadline := time.Now().Add(forceWait)
+	for {
+		f := c.ask(ctx, v)
+		if f.Have+len(f.Silent) >= f.Asked || time.Now().After(deadline) {
+			return f
+		}
+		time.Sleep(forcePause)
+	}
+}
+
+// kept returns the fields of a form that name its change.
+func kept(form url.Values) url.Values {
+	out := url.Values{}
+	for name, values := range form {
+		if name != "base" && name != "confirm" {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// editAgain returns the form with what the operator typed in.
+func editAgain(form url.Values) editPage {
+	kind := change.Kind(form.Get("kind"))
+	return editPage{
+		Kind:    kind,
+		ID:      form.Get("id"),
+		Service: model.ServiceID(form.Get("service")),
+		Inputs:  fill(kind, form.Get),
+	}
+}
--- /dev/null
+++ b/internal/oper/shell/console.go
@@ -0,0 +1,80 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"hawthorncourse/internal/base/logs"
+	"hawthorncourse/internal/conf/setup"
+	"hawthorncourse/internal/oper/forms"
+	"hawthorncourse/internal/plat/object"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	closeTimeout  = 10 * time.Second
+)
+
+// consoleCommand serves the operators' console.
+type consoleCommand struct {
+	settings string
+}
+
+func (*consoleCommand) Name() string     { return "console" }
+func (*consoleCommand) Synopsis() string { return "serve the operators' console" }
+func (*consoleCommand) Usage() string {
+	return "console -settings FILE\n  Serve forms that make the document.\n"
+}
+
+func (c *consoleCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "file with the console's settings")
+}
+
+func (c *consoleCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		fail("Name the settings with -settings FILE.")
+		return exitUsage
+	}
+	cfg, err := setup.LoadConsole(c.settings)
+	if err != nil {
+		return failWith(err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := serveConsole(ctx, cfg); err != nil {
+		return failWith(err)
+	}
+	return exitDone
+}
+
+func serveConsole(ctx context.Context, cfg setup.Console) error {
+	log := logs.NewPart(logs.New(os.Stderr, logrus.InfoLevel), "console")
+	console := forms.New(forms.Config{
+		Platform: object.NewClient(cfg.Platform, netip.Addr{}),
+		Admin:    cfg.Admin,
+		Token:    cfg.Token,
+		Log:      log,
+	})
+	srv := &http.Server{Addr: cfg.Listen.String(), Handler: console.Handler(), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		_ = srv.Shutdown(ctx)
+	})
+	defer stop()
+	log.With("address", cfg.Listen).Info("Console is open.")
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/internal/oper/shell/shell.go
+++ b/internal/oper/shell/shell.go
@@ -36,7 +36,7 @@
 	for _, cmd := range []subcommands.Command{&entryCommand{}} {
 		c.Register(cmd, "instances")
 	}
-	for _, cmd := range []subcommands.Command{&checkCommand{}, &applyCommand{}, &showCommand{}, &statusCommand{}, newDrain(), newRestore()} {
+	for _, cmd := range []subcommands.Command{&checkCommand{}, &applyCommand{}, &showCommand{}, &statusCommand{}, newDrain(), newRestore(), &consoleCommand{}} {
 		c.Register(cmd, "operators")
 	}
 	c.Register(&versionCommand{}, "")
--- a/internal/run/entry/act.go
+++ b/internal/run/entry/act.go
@@ -23,7 +23,7 @@
 		return e.wrap(e.back, a.Address, callerFrame(a.Packet))
 	case model.VerbHand:
 		f := callerFrame(a.Packet)
-		f.Hops = a.Packet.Hops + 1
+		f.Hops, f.Toward = a.Packet.Hops+1, a.Packet.Toward
 		return e.wrap(e.hand, e.hands[a.Peer], f)
 	case model.VerbHandAnswer:
 		f := answerFrame(a.Answer.Flow, a.Answer.Raw)
--- a/internal/run/entry/sockets.go
+++ b/internal/run/entry/sockets.go
@@ -17,7 +17,7 @@
 // readFront takes callers' packets from the fabric.
 func (e *Entry) readFront(ctx context.Context) error {
 	return e.read(ctx, e.front, func(f frame.Frame, _ netip.AddrPort) {
-		f.Hops = 0
+		f.Hops, f.Toward = 0, ""
 		e.takePacket(f)
 	})
 }
@@ -71,7 +71,7 @@
 		e.tally.drop(model.ReasonMalformed)
 		return
 	}
-	p.Hops = f.Hops
+	p.Hops, p.Toward = f.Hops, f.Toward
 	if !e.packets.Offer(p) {
 		e.tally.drop(model.ReasonRingFull)
 	}
--- a/internal/wire/frame/frame.go
+++ b/internal/wire/frame/frame.go
@@ -16,6 +16,7 @@
 const (
 	typeHops = proxyproto.PP2_TYPE_MIN_CUSTOM
 	typeFrom = proxyproto.PP2_TYPE_MIN_CUSTOM + 1
+	typeTo   = proxyproto.PP2_TYPE_MIN_CUSTOM + 2
 
 	version = 2
 )
@@ -37,6 +38,8 @@
 	Hops uint8
 	// From is the upstream of an answer handed between instances; otherwise invalid.
 	From netip.AddrPort
+	// Toward is the upstream that a peer found for the packet; empty for none.
+	Toward model.UpstreamID
 	// Payload is the datagram behind the header.
 	Payload []byte
 }
@@ -84,6 +87,8 @@
 			return ErrTLV
 		}
 		f.Hops = tlv.Value[0]
+	case typeTo:
+		f.Toward = model.UpstreamID(tlv.Value)
 	case typeFrom:
 		if err := f.From.UnmarshalBinary(tlv.Value); err != nil {
 			return ErrTLV
@@ -133,6 +138,9 @@
 	if f.Hops != 0 {
 		tlvs = append(tlvs, proxyproto.TLV{Type: typeHops, Value: []byte{f.Hops}})
 	}
+	if f.Toward != "" {
+		tlvs = append(tlvs, proxyproto.TLV{Type: typeTo, Value: []byte(f.Toward)})
+	}
 	if f.From.IsValid() {
 		value, _ := f.From.MarshalBinary()
 		tlvs = append(tlvs, proxyproto.TLV{Type: typeFrom, Value: value})
