Keep opaque flows in place through planned stops and joins

A home asked only the instance ranked second, which placed what it did not know and told nobody; a stopping instance was not asked at all; word of displaced flows lapsed after two refresh intervals. Change: the home alone places; while membership settles it asks the flow's elder (leaving instances count) and has the packet back if that does not know; packets for a cold or unsure upstream go to its prober, which admits flows by the cold allowance; word of flows is kept for 10 minutes and sent again if a peer did not take it.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -317,3 +317,8 @@
 	}
 	return out
 }
+
+// Size returns the number of instances that the set-up names.
+func (f *Fleet) Size() int {
+	return f.cfg.Setup.Instances
+}
--- a/internal/bench/tools/slopes.go
+++ b/internal/bench/tools/slopes.go
@@ -97,6 +97,8 @@
 	cpu     float64
 	rss     int
 	calls   int
+	// forwards counts packets sent to upstreams.
+	forwards int64
 }
 
 func (c *slopesCommand) measure(ctx context.Context, peers, ghosts int) error {
@@ -136,7 +138,7 @@
 }
 
 func (c *slopesCommand) print(ctx context.Context, f *fleet.Fleet, peers, ghosts int) error {
-	before, err := used(ctx, f)
+	before, err := used(ctx, f, f.Instances)
 	if err != nil {
 		return err
 	}
@@ -146,7 +148,7 @@
 		return err
 	}
 	time.Sleep(time.Duration(c.seconds)*time.Second - time.Since(began))
-	after, err := used(ctx, f)
+	after, err := used(ctx, f, f.Instances)
 	if err != nil {
 		return err
 	}
@@ -178,14 +180,16 @@
 	return slowest, nil
 }
 
-func used(ctx context.Context, f *fleet.Fleet) (u usage, err error) {
-	for _, in := range f.Instances {
+// used adds up what the instances used so far.
+func used(ctx context.Context, f *fleet.Fleet, instances []*fleet.Instance) (u usage, err error) {
+	for _, in := range instances {
 		w, err := in.Status(ctx)
 		if err != nil {
 			return u, err
 		}
 		u.in += w.Counter("mesh.bytes_in")
 		u.out += w.Counter("mesh.bytes_out")
+		u.forwards += w.Counter("forward")
 		proc, err := procfs.NewProc(in.PID())
 		if err != nil {
 			return u, err
--- a/internal/bench/tools/tools.go
+++ b/internal/bench/tools/tools.go
@@ -19,6 +19,7 @@
 	c.Register(&demoCommand{}, "")
 	c.Register(&balanceCommand{}, "")
 	c.Register(&slopesCommand{}, "")
+	c.Register(&flowsCommand{}, "")
 }
 
 func fail(err error) subcommands.ExitStatus {
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -38,7 +38,9 @@
 	members []model.Member
 	adopted map[model.DomainID]bool
 	// homes holds every member that takes packets, this instance included.
-	homes   []rendez.Candidate[model.InstanceID]
+	homes []rendez.Candidate[model.InstanceID]
+	// elders holds the homes and the instances that are leaving, which may know flows yet.
+	elders  []rendez.Candidate[model.InstanceID]
 	issuers map[model.IssuerTag]model.InstanceID
 	// severed holds the issuers whose whole domain is silent: they may live on beyond a cut.
 	severed map[model.IssuerTag]bool
@@ -128,6 +130,8 @@
 	e.begin(now)
 	if e.stopAt == 0 {
 		e.stopAt = max(now, 1)
+		e.indexMembers()
+		e.copyFlows(now)
 		e.own(now)
 	}
 }
@@ -200,7 +204,7 @@
 func (e *Engine) indexMembers() {
 	clear(e.issuers)
 	clear(e.severed)
-	e.homes = e.homes[:0]
+	e.homes, e.elders = e.homes[:0], e.elders[:0]
 	live := map[model.DomainID]bool{}
 	for _, m := range e.members {
 		live[m.Domain] = live[m.Domain] || m.State != model.MemberDead
@@ -211,8 +215,10 @@
 			continue
 		}
 		e.issuers[m.Tag()] = m.ID
-		if m.State != model.MemberLeaving || m.ID == e.cfg.Self.ID {
-			e.homes = append(e.homes, rendez.NewCandidate(string(m.ID), m.ID))
+		c := rendez.NewCandidate(string(m.ID), m.ID)
+		e.elders = append(e.elders, c)
+		if m.State != model.MemberLeaving && (m.ID != e.cfg.Self.ID || e.stopAt == 0) {
+			e.homes = append(e.homes, c)
 		}
 	}
 }
--- a/internal/core/engine/flow.go
+++ b/internal/core/engine/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/queue"
@@ -9,8 +10,14 @@
 	"hawthorncourse/internal/core/rendez"
 )
 
-// flowHops lets the home of an opaque flow ask the instance that was its home before.
-const flowHops = model.MaxHops + 1
+const (
+	// flowHops lets the home of an opaque flow ask the instance that was its home before, and have the packet back.
+	flowHops = model.MaxHops + 2
+	// askedHops is what a packet has at least when it comes back to its home.
+	askedHops = model.MaxHops + 1
+	// toldLife is how long a peer's word of a flow is kept unused.
+	toldLife = 10 * time.Minute
+)
 
 // flow is one opaque flow that this instance knows the place of.
 type flow struct {
@@ -22,6 +29,8 @@
 // flowTable holds the flows that this instance placed or was told of.
 type flowTable struct {
 	flows *recent.Table[model.FlowKey, flow]
+	// told holds what peers said of flows that this instance is or may become the home of.
+	told *recent.Table[model.FlowKey, *upstream]
 	// copies holds the flows that sit elsewhere than at their default and are yet to be told to peers.
 	copies queue.Queue[FlowCopy]
 }
@@ -34,36 +43,62 @@
 }
 
 func newFlowTable(limit int) flowTable {
-	return flowTable{flows: recent.New[model.FlowKey, flow](limit)}
+	return flowTable{flows: recent.New[model.FlowKey, flow](limit), told: recent.New[model.FlowKey, *upstream](limit)}
 }
 
-// flowPacket decides on an opaque datagram: known flows go on, others go to their home.
+// flowPacket decides on an opaque datagram: known flows go on, others go to their home, which places them.
 func (e *Engine) flowPacket(now model.Instant, s *service, p *model.Packet) {
-	if up := e.knownFlow(now, s, p); up != nil {
-		e.relay(now, p, up)
+	if f := e.flows.flows.Use(now, p.Flow); f != nil && e.standing(f.up) && f.fresh() {
+		e.keptPacket(now, p, f)
+		return
+	}
+	if up := e.upstreams[p.Toward]; up != nil && up.service == s && e.standing(up) {
+		e.probeFlow(now, p, up)
+		return
+	}
+	if up := e.flows.told.Use(now, p.Flow); up != nil && e.standing(*up) {
+		e.keepFlow(now, p.Flow, *up)
+		e.relay(now, p, *up)
 		return
 	}
-	first, second := e.homePair(p.Flow)
-	if p.Hops == 0 && first != e.cfg.Self.ID {
-		e.hand(p, first, model.ReasonHome)
+	home := e.home(p.Flow)
+	if home != e.cfg.Self.ID && home != "" && p.Hops < flowHops {
+		e.hand(p, home, model.ReasonHome)
 		return
 	}
-	if first == e.cfg.Self.ID && e.settling(now) && p.Hops < flowHops && second != "" {
-		e.hand(p, second, model.ReasonHome)
+	if elder := e.elder(p.Flow); elder != "" && e.settling(now) && p.Hops < askedHops {
+		e.hand(p, elder, model.ReasonHome)
 		return
 	}
 	e.placeFlow(now, s, p)
 }
 
-// knownFlow returns the upstream of a flow that this instance or the peer that handed it knows, or nil.
-func (e *Engine) knownFlow(now model.Instant, s *service, p *model.Packet) *upstream {
-	if f := e.flows.flows.Use(now, p.Flow); f != nil && e.standing(f.up) && f.fresh() {
-		return f.up
+// probeFlow relays a packet of a flow that another instance placed while it was not sure of the upstream.
+func (e *Engine) probeFlow(now model.Instant, p *model.Packet, up *upstream) {
+	if up.unsure(now, e.doc.Timing.WarmLease) {
+		e.relay(now, p, up)
+		return
 	}
-	if up := e.upstreams[p.Toward]; up != nil && up.service == s && e.standing(up) {
-		return up
+	if now < up.coldUntil {
+		if up.coldOpened >= up.cfg.ColdConnections {
+			e.drop(p, model.ReasonNoUpstream)
+			return
+		}
+		up.coldOpened++
+	}
+	e.keepFlow(now, p.Flow, up)
+	e.relay(now, p, up)
+}
+
+// keptPacket relays a packet of a known flow; one that was placed before the upstream was known to be cold goes to its prober.
+func (e *Engine) keptPacket(now model.Instant, p *model.Packet, f *flow) {
+	if f.boot != 0 || now >= f.up.coldUntil || f.up.unsure(now, e.doc.Timing.WarmLease) {
+		e.relay(now, p, f.up)
+		return
+	}
+	if !e.handProber(p, f.up) {
+		e.probeFlow(now, p, f.up)
 	}
-	return nil
 }
 
 // fresh reports whether the upstream has not restarted since the flow was placed.
@@ -71,6 +106,28 @@
 	return f.boot == 0 || f.up.boot == 0 || f.boot == f.up.boot
 }
 
+// keepFlow remembers where a flow sits.
+func (e *Engine) keepFlow(now model.Instant, key model.FlowKey, up *upstream) {
+	old := e.flows.flows.Peek(key)
+	if old != nil {
+		old.up.streams--
+	}
+	if !e.flows.flows.Put(now, key, flow{up: up, boot: up.boot}) {
+		e.note(model.ReasonFlowLimit)
+		return
+	}
+	up.streams++
+}
+
+// elder returns the instance that was the flow's home before membership changed, if it was not this one.
+func (e *Engine) elder(key model.FlowKey) model.InstanceID {
+	first, second := rendez.FirstTwo(rendez.Key(key.Hash()), e.elders)
+	if first == e.cfg.Self.ID {
+		return second
+	}
+	return first
+}
+
 // settling reports whether flows may still be known at their earlier home only.
 func (e *Engine) settling(now model.Instant) bool {
 	return e.movedAt != 0 && now.Sub(e.movedAt) < settleFor
@@ -83,12 +140,11 @@
 		if !e.flowRoom(now, up) {
 			continue
 		}
-		if !e.flows.flows.Put(now, p.Flow, flow{up: up, boot: up.boot}) {
-			e.note(model.ReasonFlowLimit)
-		}
+		e.keepFlow(now, p.Flow, up)
 		up.opened.add(now, s.cfg.RefreshInterval)
-		up.coldOpened++
-		up.streams++
+		if now < up.coldUntil {
+			up.coldOpened++
+		}
 		if n > 0 {
 			e.copyFlow(p.Flow, up)
 		}
@@ -104,8 +160,8 @@
 	if up.closed() || up.share == nil || now < up.pauseUntil {
 		return false
 	}
-	if up.cold(now, lease) {
-		return up.share.Probation(now) && up.coldOpened < up.cfg.ColdConnections
+	if now < up.coldUntil {
+		return up.share.Probation(now) && !up.unsure(now, lease) && up.coldOpened < up.cfg.ColdConnections
 	}
 	instances := max(len(e.homes), 1)
 	open := max(up.reported, up.streams*instances)
@@ -119,6 +175,9 @@
 		e.lose(a, model.ReasonAnswerUnexpected)
 		return
 	}
+	if f != nil && f.boot == 0 {
+		f.boot = up.boot
+	}
 	e.emit(model.Action{Verb: model.VerbDeliver, Answer: a, Raw: a.Raw})
 }
 
@@ -192,15 +251,21 @@
 	return out
 }
 
+// Recopy queues word again that did not reach its peer.
+func (e *Engine) Recopy(copies []FlowCopy) {
+	for _, c := range copies {
+		if up := e.upstreams[c.Upstream]; up != nil {
+			e.copyFlow(c.Flow, up)
+		}
+	}
+}
+
 // Learn takes a peer's word of where flows sit; what is known here already stays.
 func (e *Engine) Learn(now model.Instant, copies []FlowCopy) {
 	for _, c := range copies {
 		up := e.upstreams[c.Upstream]
-		if up == nil || e.flows.flows.Peek(c.Flow) != nil {
-			continue
-		}
-		if e.flows.flows.Put(now, c.Flow, flow{up: up, boot: up.boot}) {
-			up.streams++
+		if up != nil && !e.flows.told.Put(now, c.Flow, up) {
+			e.note(model.ReasonFlowLimit)
 		}
 	}
 }
@@ -209,4 +274,5 @@
 	e.flows.flows.Expire(now, streamLives*e.refreshInterval(), func(_ model.FlowKey, f *flow) {
 		f.up.streams--
 	})
+	e.flows.told.Expire(now, toldLife, func(model.FlowKey, **upstream) {})
 }
--- a/internal/core/engine/sticky.go
+++ b/internal/core/engine/sticky.go
@@ -69,10 +69,7 @@
 		e.forward(p, up)
 		return
 	}
-	prober := up.share.Prober()
-	if prober != e.cfg.Self.ID && prober != "" && p.Hops < model.MaxHops {
-		p.Toward = up.cfg.ID
-		e.hand(p, prober, model.ReasonUpstreamSilent)
+	if e.handProber(p, up) {
 		return
 	}
 	if now.Sub(up.probed) >= e.doc.Timing.WarmLease || up.probed == 0 {
@@ -87,6 +84,21 @@
 	up.parked.Push(p)
 }
 
+// handProber hands a packet to the upstream's prober; it reports false if that is this instance or none.
+func (e *Engine) handProber(p *model.Packet, up *upstream) bool {
+	prober := up.share.Prober()
+	limit := uint8(model.MaxHops)
+	if p.Class == model.ClassFlow {
+		limit = flowHops
+	}
+	if prober == e.cfg.Self.ID || prober == "" || p.Hops >= limit {
+		return false
+	}
+	p.Toward = up.cfg.ID
+	e.hand(p, prober, model.ReasonUpstreamSilent)
+	return true
+}
+
 // unpark lets the packets go that waited for proof that the upstream has not restarted.
 func (e *Engine) unpark(now model.Instant, up *upstream) {
 	for n := up.parked.Len(); n > 0; n-- {
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -151,6 +151,7 @@
 		go func() {
 			if e.mesh.Copy(context.Background(), peer, batch) != nil {
 				e.counts.Counter("mesh.copy_failed").Inc(1)
+				e.do(func(model.Instant) { e.engine.Recopy(batch) })
 			}
 		}()
 	}
