Make the test of bindings without a boot fail without its change

Change: two seconds pass between them. Measured: go test ./internal/core/engine -run TestStreamBinding fails with the change taken back and passes with it.

--- a/internal/core/engine/once_test.go
+++ b/internal/core/engine/once_test.go
@@ -200,7 +200,6 @@
 		"it holds before and after the upstream's first word": func(a *alone) {
 			fresh := newAloneUnproved(a)
 			p := fresh.bound(model.ClassSticky, "t")
-			fresh.prove(7)
 			fresh.wait(2 * time.Second)
 			fresh.prove(7)
 			a.Equal(fresh.one(p).Verb, model.VerbForward)
