Forget a message once its acknowledgement has gone on

Cause: what awaits an acknowledgement was kept for 250 s; at 1,100 confirmable notifications a second the table of 262,144 is full, and acknowledgements are lost. Found by reading. Change: the entry goes with its acknowledgement; if that is lost the upstream repeats the message, which enters it anew. Loads of dead peers are forgotten too. Ruled out: a larger table, which only moves the rate. Measured: go test ./internal/core/engine passes with a test that the second acknowledgement is unknown.

--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -2,6 +2,7 @@
 package engine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -205,10 +206,12 @@
 	clear(e.issuers)
 	clear(e.severed)
 	e.homes, e.elders = e.homes[:0], e.elders[:0]
-	live := map[model.DomainID]bool{}
+	live, dead := map[model.DomainID]bool{}, map[model.InstanceID]bool{}
 	for _, m := range e.members {
 		live[m.Domain] = live[m.Domain] || m.State != model.MemberDead
+		dead[m.ID] = m.State == model.MemberDead
 	}
+	maps.DeleteFunc(e.loads, func(k loadKey, _ float64) bool { return dead[k.peer] })
 	for _, m := range e.members {
 		if m.State == model.MemberDead {
 			e.severed[m.Tag()] = !live[m.Domain]
--- a/internal/core/engine/once_test.go
+++ b/internal/core/engine/once_test.go
@@ -84,9 +84,9 @@
 }
 
 // bound returns a packet with the binding that its first try is given.
-func (a *alone) bound(class model.Class, token string) *model.Packet {
+func (a *alone) bound(class model.Class) *model.Packet {
 	a.Helper()
-	p := a.packet(class, token)
+	p := a.packet(class, "t")
 	offer := a.one(p)
 	a.Equal(offer.Verb, model.VerbChallenge)
 	p.Binding = offer.Binding
@@ -111,7 +111,7 @@
 			a.Equal(a.one(a.packet(model.ClassOnce, "t")).Verb, model.VerbChallenge)
 		},
 		"a repeat gets the kept answer": func(a *alone) {
-			p := a.bound(model.ClassOnce, "t")
+			p := a.bound(model.ClassOnce)
 			a.answer(a.one(p), model.OutcomeDone)
 			again := *p
 			again.Token = model.NewToken([]byte("other"))
@@ -120,7 +120,7 @@
 			a.Equal(act.Packet.Token, again.Token)
 		},
 		"other content under the same binding is another request": func(a *alone) {
-			p := a.bound(model.ClassOnce, "t")
+			p := a.bound(model.ClassOnce)
 			a.one(p)
 			other := *p
 			other.Digest++
@@ -129,34 +129,34 @@
 			a.Equal(act.Reason, model.ReasonBindingUsed)
 		},
 		"an expired binding is never run": func(a *alone) {
-			p := a.bound(model.ClassOnce, "t")
+			p := a.bound(model.ClassOnce)
 			a.wait(6 * time.Second)
 			a.Equal(a.one(p).Verb, model.VerbUnknown)
 		},
 		"a forged binding is never answered with a fresh one": func(a *alone) {
-			p := a.bound(model.ClassOnce, "t")
+			p := a.bound(model.ClassOnce)
 			p.Binding = append([]byte{}, p.Binding...)
 			p.Binding[30]++
 			a.Equal(a.one(p).Verb, model.VerbUnknown)
 		},
 		"a binding of another caller is never run": func(a *alone) {
-			p := a.bound(model.ClassOnce, "t")
+			p := a.bound(model.ClassOnce)
 			p.Flow.Caller = addr(201, 1)
 			a.Equal(a.one(p).Verb, model.VerbUnknown)
 		},
 		"what one upstream did not run goes to another": func(a *alone) {
-			first := a.one(a.bound(model.ClassOnce, "t"))
+			first := a.one(a.bound(model.ClassOnce))
 			second := a.last(a.answer(first, model.OutcomeNotRun))
 			a.Equal(second.Verb, model.VerbForward)
 			a.True(second.Address != first.Address)
 		},
 		"a second word of not run is not taken for the second upstream's": func(a *alone) {
-			first := a.one(a.bound(model.ClassOnce, "t"))
+			first := a.one(a.bound(model.ClassOnce))
 			a.answer(first, model.OutcomeNotRun)
 			a.Equal(a.last(a.answer(first, model.OutcomeNotRun)).Reason, model.ReasonAnswerLate)
 		},
 		"a lost answer is unknown, and a late one is kept for repeats": func(a *alone) {
-			p := a.bound(model.ClassOnce, "t")
+			p := a.bound(model.ClassOnce)
 			sent := a.one(p)
 			unknown := 0
 			for _, act := range a.wait(1100 * time.Millisecond) {
@@ -199,13 +199,13 @@
 	cases := map[string]func(*alone){
 		"it holds before and after the upstream's first word": func(a *alone) {
 			fresh := newAloneUnproved(a)
-			p := fresh.bound(model.ClassSticky, "t")
+			p := fresh.bound(model.ClassSticky)
 			fresh.wait(2 * time.Second)
 			fresh.prove(7)
 			a.Equal(fresh.one(p).Verb, model.VerbForward)
 		},
 		"it ends when the upstream restarts": func(a *alone) {
-			p := a.bound(model.ClassSticky, "t")
+			p := a.bound(model.ClassSticky)
 			a.wait(2 * time.Second)
 			a.prove(8)
 			act := a.one(p)
@@ -213,7 +213,7 @@
 			a.Equal(act.Reason, model.ReasonBindingMoved)
 		},
 		"it goes on when the upstream leaves": func(a *alone) {
-			p := a.bound(model.ClassSticky, "t")
+			p := a.bound(model.ClassSticky)
 			doc := worldDocument(2)
 			*doc = *a.doc
 			doc.Version = 2
@@ -224,15 +224,36 @@
 			a.Equal(a.one(p).Verb, model.VerbForward)
 		},
 		"it ends when the domain is out": func(a *alone) {
-			p := a.bound(model.ClassSticky, "t")
+			p := a.bound(model.ClassSticky)
 			doc := *a.doc
 			doc.Version = 2
 			doc.Domains = []model.Domain{{ID: "east", Out: true}, {ID: "west"}}
 			a.e.SetDocument(a.now, &doc)
 			a.True(a.one(p).Verb != model.VerbForward)
 		},
+		"its notifications are acknowledged at their upstream": func(a *alone) {
+			p := a.bound(model.ClassSticky)
+			sent := a.one(p)
+			a.e.Answer(a.now, &model.Answer{Flow: p.Flow, Token: p.Token, MessageID: 9, Confirmable: true, Outcome: model.OutcomeNotice, From: sent.Address, Boot: 7})
+			ack := a.packet(model.ClassReply, "")
+			ack.MessageID = 9
+			act := a.one(ack)
+			a.Equal(act.Verb, model.VerbForward)
+			a.Equal(act.Address, sent.Address)
+			a.Equal(a.one(ack).Reason, model.ReasonReplyUnknown)
+		},
+		"a notification of another upstream is not relayed": func(a *alone) {
+			p := a.bound(model.ClassSticky)
+			sent := a.one(p)
+			for _, up := range a.doc.Services[0].Upstreams {
+				if up.Address != sent.Address {
+					act := a.last(a.e.Answer(a.now, &model.Answer{Flow: p.Flow, Token: p.Token, Outcome: model.OutcomeNotice, From: up.Address, Boot: 7}))
+					a.Equal(act.Verb, model.VerbDrop)
+				}
+			}
+		},
 		"it is worthless at another service": func(a *alone) {
-			p := a.bound(model.ClassSticky, "t")
+			p := a.bound(model.ClassSticky)
 			p.Flow.Service = a.doc.Services[1].Address
 			a.Equal(a.one(p).Verb, model.VerbChallenge)
 		},
@@ -260,8 +281,11 @@
 		members []model.Member
 		want    model.Verb
 	}{
-		"it restarted":                   {members: []model.Member{{ID: "instance-1", Domain: "west", Boot: 2, State: model.MemberAlive}}, want: model.VerbUnknown},
-		"it died alone":                  {members: []model.Member{{ID: "instance-1", Domain: "west", Boot: 1, State: model.MemberDead}, {ID: "instance-2", Domain: "west", State: model.MemberAlive}}, want: model.VerbUnknown},
+		"it restarted": {members: []model.Member{{ID: "instance-1", Domain: "west", Boot: 2, State: model.MemberAlive}}, want: model.VerbUnknown},
+		"it died alone": {members: []model.Member{
+			{ID: "instance-1", Domain: "west", Boot: 1, State: model.MemberDead},
+			{ID: "instance-2", Domain: "west", State: model.MemberAlive},
+		}, want: model.VerbUnknown},
 		"its whole domain is silent":     {members: []model.Member{{ID: "instance-1", Domain: "west", Boot: 1, State: model.MemberDead}}, want: model.VerbDrop},
 		"it lives":                       {members: []model.Member{{ID: "instance-1", Domain: "west", Boot: 1, State: model.MemberAlive}}, want: model.VerbHand},
 		"it is leaving and still serves": {members: []model.Member{{ID: "instance-1", Domain: "west", Boot: 1, State: model.MemberLeaving}}, want: model.VerbHand},
--- a/internal/core/engine/packet.go
+++ b/internal/core/engine/packet.go
@@ -65,10 +65,12 @@
 	return len(s.far) > 0 && s.waiting.Len() >= max(s.cfg.QueueLimit/2, 1)
 }
 
-// replyPacket returns a caller's acknowledgement to the upstream that waits for it.
+// replyPacket returns a caller's acknowledgement to the upstream that waits for it; if it is lost, the message comes again.
 func (e *Engine) replyPacket(p *model.Packet) {
-	if up := e.replies.Peek(replyKey{flow: p.Flow, messageID: p.MessageID}); up != nil {
+	key := replyKey{flow: p.Flow, messageID: p.MessageID}
+	if up := e.replies.Peek(key); up != nil {
 		e.forwardReply(p, *up)
+		e.replies.Delete(key)
 		return
 	}
 	home := e.home(p.Flow)
--- a/internal/oper/change/change_test.go
+++ b/internal/oper/change/change_test.go
@@ -209,7 +209,12 @@
 
 func TestEditKeepsComments(t *testing.T) {
 	cases := map[string]change.Edit{
-		"add":    {Kind: change.KindUpstream, ID: "order-desk-9", Service: "order-desk", Fields: []change.Field{{Name: "domain", Value: "musanze"}, {Name: "address", Value: "127.0.0.29:7100"}, {Name: "slots", Value: 3}, {Name: "connections", Value: 9}}},
+		"add": {Kind: change.KindUpstream, ID: "order-desk-9", Service: "order-desk", Fields: []change.Field{
+			{Name: "domain", Value: "musanze"},
+			{Name: "address", Value: "127.0.0.29:7100"},
+			{Name: "slots", Value: 3},
+			{Name: "connections", Value: 9},
+		}},
 		"change": {Kind: change.KindUpstream, ID: "order-desk-1", Service: "order-desk", Fields: []change.Field{{Name: "slots", Value: 4}, {Name: "note", Value: nil}}},
 		"remove": {Kind: change.KindUpstream, ID: "order-desk-1", Service: "order-desk", Remove: true},
 	}
