Let the prober alone poll and tell, and doubt upstreams that kept silent

Cause: every owner of a slot polled the upstream's health and told every other owner of each answer; at 23 slots a node that is 23 polls and up to 92 letters a second, about 7 and 9 KB/s of the 10 KB/s bound, worked out from 8 upstreams a node. An upstream that tells no boot identity was used in full at its first answer after a silence. Change: the prober polls and tells co-owners, health included; whoever notices a restart still tells all owners; a silent upstream without boot identity starts cold. Ruled out: a longer interval between letters, which would have to come with a longer warm lease.

--- a/internal/core/engine/bench_test.go
+++ b/internal/core/engine/bench_test.go
@@ -74,7 +74,11 @@
 	e, doc, now := benchEngine(b, model.KindCoAP)
 	p := streamPacket(doc, 1, openStream(b, e, doc, now, 1))
 	other := *p
-	other.Binding = openStream(b, e, doc, now.Add(2*time.Second), 1)
+	for range 40 {
+		now = now.Add(step)
+		e.Tick(now)
+	}
+	other.Binding = openStream(b, e, doc, now, 1)
 	if string(other.Binding) == string(p.Binding) {
 		b.Fatal("both bindings are the same")
 	}
--- a/internal/core/engine/once_test.go
+++ b/internal/core/engine/once_test.go
@@ -303,3 +303,35 @@
 		})
 	}
 }
+
+// TestSilentUpstream checks that an upstream that kept silent is used a little at first, whether or not it tells its start.
+func TestSilentUpstream(t *testing.T) {
+	cases := map[string]struct {
+		before, after model.BootID
+		cold          bool
+	}{
+		"it restarted and tells":          {before: 7, after: 8, cold: true},
+		"it did not restart and tells":    {before: 7, after: 7},
+		"it does not tell, so who knows?": {cold: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newAlone(t, func(doc *model.Document) {
+				doc.Services[0].Upstreams = doc.Services[0].Upstreams[:1]
+				doc.Services[0].Upstreams[0].ColdFor = time.Minute
+			})
+			a.e = nil
+			fresh := newAloneUnproved(a)
+			fresh.prove(tc.before)
+			fresh.wait(61 * time.Second)
+			fresh.prove(tc.before)
+			fresh.one(fresh.packet(model.ClassAny, "1"))
+			fresh.wait(1500 * time.Millisecond)
+			fresh.prove(tc.after)
+			a.Equal(fresh.one(fresh.packet(model.ClassAny, "2")).Verb, model.VerbForward)
+			second := fresh.e.Packet(fresh.now, fresh.packet(model.ClassAny, "3"))
+			forwarded := len(second) > 0 && second[len(second)-1].Verb == model.VerbForward
+			a.Equal(forwarded, !tc.cold)
+		})
+	}
+}
--- a/internal/core/engine/sight.go
+++ b/internal/core/engine/sight.go
@@ -14,6 +14,8 @@
 	BootAge time.Duration
 	// HeardAge is how long ago an answer proved the boot.
 	HeardAge time.Duration
+	// Health is what the sender was last told by the upstream's endpoint.
+	Health Health
 }
 
 // Letter is what one instance tells one peer.
@@ -29,12 +31,12 @@
 	return urgent
 }
 
-// Letters returns what peers should hear: each co-owner of an upstream learns when it was last heard.
+// Letters returns what peers should hear: the prober of an upstream tells its co-owners, and whoever notices a restart tells all owners.
 func (e *Engine) Letters(now model.Instant) []Letter {
 	byPeer := map[model.InstanceID]*Letter{}
 	var order []*Letter
 	for _, up := range e.upstreams {
-		if up.heard == 0 || up.heard <= up.told || up.boot == 0 || up.share == nil {
+		if !e.tells(up) {
 			continue
 		}
 		up.told = now
@@ -58,6 +60,17 @@
 	return letters
 }
 
+// tells reports whether this instance has word of the upstream for its owners.
+func (e *Engine) tells(up *upstream) bool {
+	if up.boot == 0 || up.share == nil {
+		return false
+	}
+	if up.restarted > up.told {
+		return true
+	}
+	return up.share.Prober() == e.cfg.Self.ID && up.heard > up.told
+}
+
 func (l *Letter) add(s Sighting) {
 	if n := len(l.Sightings); n > 0 && l.Sightings[n-1].Upstream == s.Upstream {
 		return
@@ -71,6 +84,7 @@
 		Boot:     u.boot,
 		BootAge:  now.Sub(u.bootSeen),
 		HeardAge: now.Sub(u.heard),
+		Health:   Health{Upstream: u.cfg.ID, Down: u.down, Draining: u.draining, Connections: u.reported},
 	}
 }
 
@@ -87,6 +101,9 @@
 
 func (e *Engine) hearSighting(now model.Instant, up *upstream, s Sighting) {
 	heard, seen := now.Add(-s.HeardAge), now.Add(-s.BootAge)
+	if up.share != nil && up.share.Prober() != e.cfg.Self.ID {
+		e.SetHealth(now, s.Health)
+	}
 	switch {
 	case s.Boot == up.boot:
 		up.heard = max(up.heard, heard)
@@ -127,17 +144,18 @@
 	if up == nil {
 		return
 	}
+	up.suspect = up.suspect || h.Down
 	up.down, up.draining, up.reported = h.Down, h.Draining, h.Connections
 	if h.Cold {
 		up.coldUntil = max(up.coldUntil, now.Add(coldEcho))
 	}
 }
 
-// Polled returns the upstreams whose health this instance asks for: those whose first slot it owns.
+// Polled returns the upstreams whose health this instance asks for, as their prober.
 func (e *Engine) Polled() []model.Upstream {
 	var out []model.Upstream
 	for _, up := range e.upstreams {
-		if up.share != nil && up.share.Mine() > 0 && up.cfg.Health.IsValid() {
+		if up.share != nil && up.share.Prober() == e.cfg.Self.ID && up.cfg.Health.IsValid() {
 			out = append(out, *up.cfg)
 		}
 	}
--- a/internal/core/engine/tick.go
+++ b/internal/core/engine/tick.go
@@ -44,7 +44,7 @@
 		if x.done || !x.holding || now.Sub(x.sent) < s.silence() {
 			continue
 		}
-		x.up.heard = 0
+		x.up.heard, x.up.suspect = 0, true
 		x.up.pause(now)
 		e.note(model.ReasonUpstreamSilent)
 		if x.entry == nil {
--- a/internal/core/engine/upstream.go
+++ b/internal/core/engine/upstream.go
@@ -35,6 +35,8 @@
 	restarted model.Instant
 	// heard is when an answer last proved the boot; zero for never.
 	heard model.Instant
+	// suspect is set when it kept silent, so that it may have restarted.
+	suspect bool
 	// coldUntil is when the cold start is over.
 	coldUntil model.Instant
 	// pauseUntil is when the upstream is tried again after it shed load or kept silent.
@@ -140,16 +142,20 @@
 	if boot != 0 && slices.Contains(u.retired, boot) {
 		return false
 	}
+	if boot == 0 && u.suspect {
+		u.restart(now, 0)
+	}
 	if boot == 0 || boot == u.boot {
-		u.heard, u.backoff = now, 0
+		u.heard, u.backoff, u.suspect = now, 0, false
 		return false
 	}
 	restarted = u.boot != 0
 	u.restart(now, boot)
-	u.heard, u.backoff = now, 0
+	u.heard, u.backoff, u.suspect = now, 0, false
 	return restarted
 }
 
+// restart takes note of a new start; boot is zero for an upstream that does not tell.
 func (u *upstream) restart(now model.Instant, boot model.BootID) {
 	if u.boot != 0 {
 		u.restarted = now
--- a/internal/peer/mesh/wire.go
+++ b/internal/peer/mesh/wire.go
@@ -71,6 +71,8 @@
 	Upstream          string
 	Boot              uint64
 	BootAge, HeardAge time.Duration
+	Down, Draining    bool
+	Connections       int
 }
 
 // CopyArgs tells where flows sit.
@@ -136,10 +138,13 @@
 	var args TellArgs
 	for _, s := range l.Sightings {
 		args.Sightings = append(args.Sightings, Sighting{
-			Upstream: string(s.Upstream),
-			Boot:     uint64(s.Boot),
-			BootAge:  s.BootAge,
-			HeardAge: s.HeardAge,
+			Upstream:    string(s.Upstream),
+			Boot:        uint64(s.Boot),
+			BootAge:     s.BootAge,
+			HeardAge:    s.HeardAge,
+			Down:        s.Health.Down,
+			Draining:    s.Health.Draining,
+			Connections: s.Health.Connections,
 		})
 	}
 	return args
@@ -153,6 +158,12 @@
 			Boot:     model.BootID(s.Boot),
 			BootAge:  max(s.BootAge, 0),
 			HeardAge: max(s.HeardAge, 0),
+			Health: engine.Health{
+				Upstream:    model.UpstreamID(s.Upstream),
+				Down:        s.Down,
+				Draining:    s.Draining,
+				Connections: s.Connections,
+			},
 		})
 	}
 	return l
