Give up at once on what the platform rejects

Cause: a document that grows over a megabyte by its stamp is answered with 413, and the conditional update was tried again without end. Ruled out: a slow parse (0.09 s at that size).

--- a/internal/oper/change/change.go
+++ b/internal/oper/change/change.go
@@ -104,6 +104,9 @@
 		if err == nil {
 			return v, nil
 		}
+		if errors.Is(err, object.ErrRejected) {
+			return 0, err
+		}
 		current, readErr := Read(ctx, p)
 		switch {
 		case readErr == nil && current.Document.Operation == id:
--- a/internal/oper/change/change_test.go
+++ b/internal/oper/change/change_test.go
@@ -22,6 +22,8 @@
 	obj object.Object
 	// loses is called for each write that took effect; true loses its answer.
 	loses func() bool
+	// rejects is set while the platform rejects every write.
+	rejects bool
 	// fails is the number of writes that fail without effect.
 	fails int
 }
@@ -36,6 +38,9 @@
 
 // Put implements change.Platform.
 func (f *fake) Put(_ context.Context, _ string, at model.Version, body []byte) (model.Version, error) {
+	if f.rejects {
+		return 0, object.ErrRejected
+	}
 	if f.fails > 0 {
 		f.fails--
 		return 0, errLost
@@ -146,6 +151,14 @@
 	is.True(strings.Contains(err.Error(), "not known whether"))
 }
 
+func TestSubmitIsRejected(t *testing.T) {
+	is := is.New(t)
+	f, base := newFake(t)
+	f.rejects = true
+	_, err := change.Submit(context.Background(), f, base, base.Text, "me")
+	is.True(errors.Is(err, object.ErrRejected))
+}
+
 func TestSuccession(t *testing.T) {
 	cases := map[string]struct {
 		old, new string
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -33,6 +33,8 @@
 	ErrConflict = eris.New("object has changed since it was read")
 	// ErrNotFound means that there is no such object.
 	ErrNotFound = eris.New("object does not exist")
+	// ErrRejected means that the platform will never take the call as it is.
+	ErrRejected = eris.New("platform rejects the call")
 	// ErrUnchanged means that a watch ended without a change.
 	ErrUnchanged = eris.New("object has not changed")
 )
@@ -188,6 +190,8 @@
 		return ErrNotFound
 	case http.StatusPreconditionFailed:
 		return ErrConflict
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnauthorized, http.StatusForbidden:
+		return eris.Wrap(ErrRejected, res.Status)
 	default:
 		return eris.Errorf("platform answered %s", res.Status)
 	}
--- a/internal/plat/object/object_test.go
+++ b/internal/plat/object/object_test.go
@@ -61,6 +61,10 @@
 			d.NoErr(err)
 			d.Equal(obj.Version, v+1)
 		},
+		"an object that is too large is rejected": func(d *desk) {
+			_, err := d.client.Put(d.ctx, "document", 0, make([]byte, 1<<20+1))
+			d.True(errors.Is(err, object.ErrRejected))
+		},
 		"an outage is an error": func(d *desk) {
 			d.store.SetDown(true)
 			_, err := d.client.Instances(d.ctx)
