--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -17,8 +17,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthorncourse/internal/core/model"
-	"hawthorncourse/internal/oper/change"
-	"hawthorncourse/internal/plat/object"
 	"hawthorncourse/internal/stand/spray"
 	"hawthorncourse/internal/stand/store"
 	"hawthorncourse/internal/stand/upnode"
@@ -214,35 +212,6 @@
 	return nil
 }
 
-// Apply sends a document as an operator would.
-func (f *Fleet) Apply(ctx context.Context, text []byte) (model.Version, error) {
-	client := object.NewClient("http://"+f.addr(0, 3, portPlatform).String(), netip.Addr{})
-	base, err := change.Read(ctx, client)
-	if err != nil && !errors.Is(err, change.ErrNone) {
-		return 0, err
-	}
-	return change.Submit(ctx, client, base, text, "fleet")
-}
-
-// Edit changes the document in force as an operator would.
-func (f *Fleet) Edit(ctx context.Context, edit func(change.Draft) ([]byte, error)) (model.Version, error) {
-	client := object.NewClient("http://"+f.addr(0, 3, portPlatform).String(), netip.Addr{})
-	base, err := change.Read(ctx, client)
-	if err != nil {
-		return 0, err
-	}
-	text, err := edit(base)
-	if err != nil {
-		return 0, err
-	}
-	return change.Submit(ctx, client, base, text, "fleet")
-}
-
-// Platform returns the URL of the platform for operators.
-func (f *Fleet) Platform() string {
-	return "http://" + f.addr(0, 3, portPlatform).String()
-}
-
 // Node returns the named upstream.
 func (f *Fleet) Node(name string) *upnode.Node {
 	for _, n := range f.Nodes {
--- a/internal/bench/tools/balance.go
+++ b/internal/bench/tools/balance.go
@@ -4,13 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
-	"github.com/google/subcommands"
-
 	"hawthorncourse/internal/bench/drive"
 	"hawthorncourse/internal/bench/fleet"
 	"hawthorncourse/internal/stand/caller"
@@ -25,16 +21,21 @@
 	seed     uint64
 }
 
-func (*balanceCommand) Name() string     { return "balance" }
-func (*balanceCommand) Synopsis() string { return "compare policies on upstreams of different speed" }
-func (*balanceCommand) Usage() string {
-	return "balance [-policies LIST] [-seconds N]\n  Print imbalance and latency for each policy in turn.\n"
+// newBalance returns the command.
+func newBalance() *command {
+	c := &balanceCommand{}
+	return &command{
+		name:     "balance",
+		synopsis: "compare policies on upstreams of different speed",
+		usage:    "[-policies LIST] [-seconds N]\n  Print imbalance and latency for each policy in turn.",
+		flags:    c.setFlags,
+		run:      c.run,
+	}
 }
 
 const balanceWarmUp = 8 * time.Second
 
-// SetFlags implements subcommands.Command.
-func (c *balanceCommand) SetFlags(f *flag.FlagSet) {
+func (c *balanceCommand) setFlags(f *flag.FlagSet) {
 	f.StringVar(&c.policies, "policies", "utilisation,completion,random,roundRobin", "policies to compare")
 	f.IntVar(&c.seconds, "seconds", 10, "seconds to measure each for")
 	f.IntVar(&c.bookers, "bookers", 10, "callers of each service that book")
@@ -42,38 +43,17 @@
 	f.Uint64Var(&c.seed, "seed", 1, "seed of every random choice")
 }
 
-// Execute implements subcommands.Command.
-func (c *balanceCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, err := os.MkdirTemp("", "balance")
-	if err != nil {
-		return fail(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
+func (c *balanceCommand) run(ctx context.Context) error {
 	for _, policy := range strings.Split(c.policies, ",") {
-		if err := c.measure(ctx, dir, policy); err != nil {
-			return fail(err)
+		cfg := fleet.Config{Setup: fleet.Regie(), Seed: c.seed, Policy: policy}
+		if err := withFleet(ctx, cfg, func(f *fleet.Fleet) error { return c.measure(ctx, f, policy) }); err != nil {
+			return err
 		}
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
-func (c *balanceCommand) measure(ctx context.Context, dir, policy string) error {
-	binary, err := program(ctx, dir)
-	if err != nil {
-		return err
-	}
-	if binary, err = filepath.Abs(binary); err != nil {
-		return err
-	}
-	setup := fleet.Regie()
-	f, err := fleet.Start(ctx, fleet.Config{Setup: setup, Binary: binary, Dir: dir, Seed: c.seed, Policy: policy})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	if err := f.AwaitVersion(ctx, 1); err != nil {
-		return err
-	}
+func (c *balanceCommand) measure(ctx context.Context, f *fleet.Fleet, policy string) error {
 	if err := f.AwaitWarm(ctx, len(f.Nodes)); err != nil {
 		return err
 	}
@@ -84,7 +64,7 @@
 	defer load.Stop()
 	time.Sleep(balanceWarmUp)
 	load.ResetLatency()
-	nodes := f.Nodes[:setup.Services[0].Upstreams]
+	nodes := f.Nodes[:fleet.Regie().Services[0].Upstreams]
 	before, began := drive.Busy(nodes), time.Now()
 	time.Sleep(time.Duration(c.seconds) * time.Second)
 	imbalance := drive.Imbalance(nodes, before)
--- a/internal/bench/tools/demo.go
+++ b/internal/bench/tools/demo.go
@@ -7,7 +7,7 @@
 	"os"
 	"path/filepath"
 
-	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
 
 	"hawthorncourse/internal/bench/demo"
 	"hawthorncourse/internal/bench/fleet"
@@ -22,10 +22,16 @@
 	seed                      uint64
 }
 
-func (*demoCommand) Name() string     { return "demo" }
-func (*demoCommand) Synopsis() string { return "run both users' set-ups through a day's events" }
-func (*demoCommand) Usage() string {
-	return "demo [-setup regie|ikirere|both] [-out DIR]\n  Exit with 1 if a promise broke.\n"
+// newDemo returns the command.
+func newDemo() *command {
+	c := &demoCommand{}
+	return &command{
+		name:     "demo",
+		synopsis: "run both users' set-ups through a day's events",
+		usage:    "[-setup regie|ikirere|both] [-out DIR]\n  Exit with 1 if a promise broke.",
+		flags:    c.setFlags,
+		run:      c.run,
+	}
 }
 
 const (
@@ -34,7 +40,7 @@
 	demoReaders = 6
 )
 
-func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+func (c *demoCommand) setFlags(f *flag.FlagSet) {
 	f.StringVar(&c.setup, "setup", "both", "set-up to run: regie, ikirere or both")
 	f.StringVar(&c.out, "out", "out", "folder for report.json, report.html and the instances' logs")
 	f.IntVar(&c.streams, "streams", demoStreams, "streams of each service")
@@ -50,32 +56,35 @@
 	"both":    {fleet.Regie(), fleet.Ikirere()},
 }
 
-func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+// errPromise means that something that must always hold did not.
+var errPromise = eris.New("a promise broke")
+
+func (c *demoCommand) run(ctx context.Context) error {
 	list := setups[c.setup]
 	if list == nil {
-		return subcommands.ExitUsageError
+		return eris.Errorf("%q is not a set-up; name regie, ikirere or both", c.setup)
 	}
 	var runs []report.Run
 	for _, setup := range list {
-		run, err := c.run(ctx, setup)
+		run, err := c.runOne(ctx, setup)
 		if err != nil {
-			return fail(err)
+			return err
 		}
 		runs = append(runs, run)
 	}
 	report.WriteText(os.Stdout, runs)
 	if err := c.write(runs); err != nil {
-		return fail(err)
+		return err
 	}
 	for _, r := range runs {
 		if len(r.Breaches) > 0 {
-			return subcommands.ExitFailure
+			return errPromise
 		}
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
-func (c *demoCommand) run(ctx context.Context, setup fleet.Setup) (run report.Run, err error) {
+func (c *demoCommand) runOne(ctx context.Context, setup fleet.Setup) (run report.Run, err error) {
 	dir := filepath.Join(c.out, setup.Name)
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return run, err
@@ -84,9 +93,6 @@
 	if err != nil {
 		return run, err
 	}
-	if binary, err = filepath.Abs(binary); err != nil {
-		return run, err
-	}
 	return demo.Run(ctx, demo.Config{
 		Setup:   setup,
 		Binary:  binary,
--- a/internal/bench/tools/flows.go
+++ b/internal/bench/tools/flows.go
@@ -7,13 +7,10 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/google/subcommands"
-
 	"hawthorncourse/internal/bench/fleet"
+	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/wire/frame"
 )
 
@@ -24,19 +21,19 @@
 	seed    uint64
 }
 
-// Name implements subcommands.Command.
-func (*flowsCommand) Name() string { return "flows" }
-
-// Synopsis implements subcommands.Command.
-func (*flowsCommand) Synopsis() string { return "measure control under many new opaque flows" }
-
-// Usage implements subcommands.Command.
-func (*flowsCommand) Usage() string {
-	return "flows [-rate N] [-seconds N]\n  Print bytes and processor time a node at rest, under new flows, and while an instance joins.\n"
+// newFlows returns the command.
+func newFlows() *command {
+	c := &flowsCommand{}
+	return &command{
+		name:     "flows",
+		synopsis: "measure control under many new opaque flows",
+		usage:    "[-rate N] [-seconds N]\n  Print bytes and processor time a node at rest, under new flows, and while an instance joins.",
+		flags:    c.setFlags,
+		run:      c.run,
+	}
 }
 
-// SetFlags implements subcommands.Command.
-func (c *flowsCommand) SetFlags(f *flag.FlagSet) {
+func (c *flowsCommand) setFlags(f *flag.FlagSet) {
 	f.IntVar(&c.rate, "rate", 2000, "new flows a second for each instance")
 	f.IntVar(&c.seconds, "seconds", 10, "seconds to measure each phase for")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of every random choice")
@@ -49,37 +46,15 @@
 	flowPort    = 1024
 )
 
-// Execute implements subcommands.Command.
-func (c *flowsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, err := os.MkdirTemp("", "flows")
-	if err != nil {
-		return fail(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := c.run(ctx, dir); err != nil {
-		return fail(err)
-	}
-	return subcommands.ExitSuccess
-}
-
-func (c *flowsCommand) run(ctx context.Context, dir string) error {
-	binary, err := program(ctx, dir)
-	if err != nil {
-		return err
-	}
-	if binary, err = filepath.Abs(binary); err != nil {
-		return err
-	}
+func (c *flowsCommand) run(ctx context.Context) error {
 	setup := fleet.Ikirere()
 	setup.Services = []fleet.Service{{ID: "stock-feed", Kind: "datagram", Upstreams: 14, Slots: 3, Connections: 1_000_000}}
-	f, err := fleet.Start(ctx, fleet.Config{Setup: setup, Binary: binary, Dir: dir, Seed: c.seed, LogLevel: "warning"})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	if err := f.AwaitVersion(ctx, 1); err != nil {
-		return err
-	}
+	cfg := fleet.Config{Setup: setup, Seed: c.seed, LogLevel: "warning"}
+	return withFleet(ctx, cfg, func(f *fleet.Fleet) error { return c.measure(ctx, f, setup.Domains[0]) })
+}
+
+// measure goes through the phases.
+func (c *flowsCommand) measure(ctx context.Context, f *fleet.Fleet, domain model.DomainID) error {
 	time.Sleep(flowWarmUp)
 	if err := c.phase(ctx, f, "at rest"); err != nil {
 		return err
@@ -91,7 +66,7 @@
 	if err := c.phase(ctx, f, "new flows"); err != nil {
 		return err
 	}
-	if _, err := f.AddInstance(setup.Domains[0]); err != nil {
+	if _, err := f.AddInstance(domain); err != nil {
 		return err
 	}
 	return c.phase(ctx, f, "instance joins")
--- a/internal/bench/tools/path.go
+++ b/internal/bench/tools/path.go
@@ -5,12 +5,8 @@
 	"flag"
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/google/subcommands"
-
 	"hawthorncourse/internal/bench/drive"
 	"hawthorncourse/internal/bench/fleet"
 	"hawthorncourse/internal/stand/caller"
@@ -24,19 +20,19 @@
 	seed    uint64
 }
 
-// Name implements subcommands.Command.
-func (*pathCommand) Name() string { return "path" }
-
-// Synopsis implements subcommands.Command.
-func (*pathCommand) Synopsis() string { return "measure what the instances add to a request" }
-
-// Usage implements subcommands.Command.
-func (*pathCommand) Usage() string {
-	return "path [-readers N] [-rounds N]\n  Print rate and latency through the instances and directly, in turn.\n"
+// newPath returns the command.
+func newPath() *command {
+	c := &pathCommand{}
+	return &command{
+		name:     "path",
+		synopsis: "measure what the instances add to a request",
+		usage:    "[-readers N] [-rounds N]\n  Print rate and latency through the instances and directly, in turn.",
+		flags:    c.setFlags,
+		run:      c.run,
+	}
 }
 
-// SetFlags implements subcommands.Command.
-func (c *pathCommand) SetFlags(f *flag.FlagSet) {
+func (c *pathCommand) setFlags(f *flag.FlagSet) {
 	f.IntVar(&c.readers, "readers", 8, "callers")
 	f.IntVar(&c.rounds, "rounds", 3, "rounds of both ways")
 	f.IntVar(&c.seconds, "seconds", 5, "seconds of each way")
@@ -45,38 +41,15 @@
 
 const pathSlots = 64
 
-// Execute implements subcommands.Command.
-func (c *pathCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, err := os.MkdirTemp("", "path")
-	if err != nil {
-		return fail(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := c.run(ctx, dir); err != nil {
-		return fail(err)
-	}
-	return subcommands.ExitSuccess
-}
-
-func (c *pathCommand) run(ctx context.Context, dir string) error {
-	binary, err := program(ctx, dir)
-	if err != nil {
-		return err
-	}
-	if binary, err = filepath.Abs(binary); err != nil {
-		return err
-	}
+func (c *pathCommand) run(ctx context.Context) error {
 	setup := fleet.Regie()
 	setup.Services = []fleet.Service{{ID: "ruche-service", Kind: "coap", Upstreams: 14, Slots: pathSlots, Connections: pathSlots}}
 	setup.ServiceTime = 0
-	f, err := fleet.Start(ctx, fleet.Config{Setup: setup, Binary: binary, Dir: dir, Seed: c.seed, LogLevel: "warning"})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	if err := f.AwaitVersion(ctx, 1); err != nil {
-		return err
-	}
+	return withFleet(ctx, fleet.Config{Setup: setup, Seed: c.seed, LogLevel: "warning"}, c.compare)
+}
+
+// compare measures both ways in turn.
+func (c *pathCommand) compare(f *fleet.Fleet) error {
 	var through, direct []netip.AddrPort
 	for _, in := range f.Instances {
 		through = append(through, in.Front)
--- a/internal/bench/tools/slopes.go
+++ b/internal/bench/tools/slopes.go
@@ -4,13 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/prometheus/procfs"
 
 	"hawthorncourse/internal/bench/drive"
@@ -30,25 +27,24 @@
 	seed    uint64
 }
 
-// Name implements subcommands.Command.
-func (*slopesCommand) Name() string { return "slopes" }
-
-// Synopsis implements subcommands.Command.
-func (*slopesCommand) Synopsis() string { return "measure what a node spends on control" }
-
-// Usage implements subcommands.Command.
-func (*slopesCommand) Usage() string {
-	return "slopes [-peers LIST] [-ghosts LIST] [-changes N] [-load]\n  Print bytes, processor time and memory a node for each pair of sizes.\n"
+// newSlopes returns the command.
+func newSlopes() *command {
+	c := &slopesCommand{}
+	return &command{
+		name:     "slopes",
+		synopsis: "measure what a node spends on control",
+		usage:    "[-peers LIST] [-ghosts LIST] [-changes N] [-load]\n  Print bytes, processor time and memory a node for each pair of sizes.",
+		flags:    c.setFlags,
+		run:      c.run,
+	}
 }
 
 const (
-	slopeThink     = 2 * time.Millisecond
-	slopeCallers   = 20
-	slopeStartTime = 2 * time.Minute
+	slopeThink   = 2 * time.Millisecond
+	slopeCallers = 20
 )
 
-// SetFlags implements subcommands.Command.
-func (c *slopesCommand) SetFlags(f *flag.FlagSet) {
+func (c *slopesCommand) setFlags(f *flag.FlagSet) {
 	f.StringVar(&c.peers, "peers", "7,14,28,56,112", "numbers of instances")
 	f.StringVar(&c.ghosts, "ghosts", "0", "numbers of further upstreams in the document")
 	f.IntVar(&c.seconds, "seconds", 10, "seconds to measure each for")
@@ -58,25 +54,27 @@
 	f.Uint64Var(&c.seed, "seed", 1, "seed of every random choice")
 }
 
-// Execute implements subcommands.Command.
-func (c *slopesCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *slopesCommand) run(ctx context.Context) error {
 	peers, err := numbers(c.peers)
 	if err != nil {
-		return fail(err)
+		return err
 	}
 	ghosts, err := numbers(c.ghosts)
 	if err != nil {
-		return fail(err)
+		return err
 	}
 	fmt.Println("instances upstreams   in B/s  out B/s  cpu %   RSS MB  platform calls/s  in force")
 	for _, n := range peers {
 		for _, g := range ghosts {
-			if err := c.measure(ctx, n, g); err != nil {
-				return fail(err)
+			setup := fleet.Regie()
+			setup.Instances, setup.Ghosts = n, g
+			cfg := fleet.Config{Setup: setup, Seed: c.seed, LogLevel: "warning"}
+			if err := withFleet(ctx, cfg, func(f *fleet.Fleet) error { return c.measure(ctx, f, g) }); err != nil {
+				return err
 			}
 		}
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
 func numbers(list string) ([]int, error) {
@@ -101,31 +99,7 @@
 	forwards int64
 }
 
-func (c *slopesCommand) measure(ctx context.Context, peers, ghosts int) error {
-	dir, err := os.MkdirTemp("", "slopes")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binary, err := program(ctx, dir)
-	if err != nil {
-		return err
-	}
-	if binary, err = filepath.Abs(binary); err != nil {
-		return err
-	}
-	setup := fleet.Regie()
-	setup.Instances, setup.Ghosts = peers, ghosts
-	f, err := fleet.Start(ctx, fleet.Config{Setup: setup, Binary: binary, Dir: dir, Seed: c.seed, LogLevel: "warning"})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	startCtx, cancel := context.WithTimeout(ctx, slopeStartTime)
-	defer cancel()
-	if err := f.AwaitVersion(startCtx, 1); err != nil {
-		return err
-	}
+func (c *slopesCommand) measure(ctx context.Context, f *fleet.Fleet, ghosts int) error {
 	if c.load {
 		load, err := drive.Start(drive.Config{Fleet: f, Streams: slopeCallers, Bookers: slopeCallers, Readers: slopeCallers, Think: slopeThink, Refresh: time.Second, Seed: c.seed})
 		if err != nil {
@@ -134,7 +108,7 @@
 		defer load.Stop()
 	}
 	time.Sleep(c.settle)
-	return c.print(ctx, f, peers, ghosts)
+	return c.print(ctx, f, f.Size(), ghosts)
 }
 
 func (c *slopesCommand) print(ctx context.Context, f *fleet.Fleet, peers, ghosts int) error {
--- a/internal/core/engine/answer.go
+++ b/internal/core/engine/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"time"
 
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/once"
@@ -186,10 +185,3 @@
 	}
 	e.emit(model.Action{Verb: model.VerbDeliver, Answer: a, Raw: a.Raw})
 }
-
-// silentAfter is the share of a request's time after which it is tried elsewhere.
-const silentAfter = 0.5
-
-func (s *service) silence() time.Duration {
-	return time.Duration(silentAfter * float64(s.cfg.RequestTimeout))
-}
--- a/internal/core/engine/once_test.go
+++ b/internal/core/engine/once_test.go
@@ -31,13 +31,18 @@
 	if change != nil {
 		change(a.doc)
 	}
+	a.start()
+	a.prove(7)
+	return a
+}
+
+// start makes the engine, whose slots are usable then, and whose upstreams have not answered yet.
+func (a *alone) start() {
 	self := model.Member{ID: "instance-0", Domain: "east", Boot: 1, State: model.MemberAlive}
 	a.e = engine.New(engine.Config{Self: self, Start: time.Unix(1_700_000_000, 0), Seed: 1, StreamLimit: 1000})
 	a.e.SetKeys(bind.Keys{Version: 1, List: []bind.Key{{Epoch: 1}}})
 	a.e.SetDocument(a.now, a.doc)
 	a.wait(4 * time.Second)
-	a.prove(7)
-	return a
 }
 
 // wait lets time pass in small steps.
@@ -198,11 +203,11 @@
 func TestStreamBinding(t *testing.T) {
 	cases := map[string]func(*alone){
 		"it holds before and after the upstream's first word": func(a *alone) {
-			fresh := newAloneUnproved(a)
-			p := fresh.bound(model.ClassSticky)
-			fresh.wait(2 * time.Second)
-			fresh.prove(7)
-			a.Equal(fresh.one(p).Verb, model.VerbForward)
+			a.start()
+			p := a.bound(model.ClassSticky)
+			a.wait(2 * time.Second)
+			a.prove(7)
+			a.Equal(a.one(p).Verb, model.VerbForward)
 		},
 		"it ends when the upstream restarts": func(a *alone) {
 			p := a.bound(model.ClassSticky)
@@ -263,18 +268,6 @@
 	}
 }
 
-// newAloneUnproved returns an engine like a's whose upstreams have not answered yet.
-func newAloneUnproved(a *alone) *alone {
-	fresh := &alone{I: a.I, doc: worldDocument(1), now: model.Instant(time.Second)}
-	*fresh.doc = *a.doc
-	self := model.Member{ID: "instance-0", Domain: "east", Boot: 1, State: model.MemberAlive}
-	fresh.e = engine.New(engine.Config{Self: self, Start: time.Unix(1_700_000_000, 0), Seed: 1, StreamLimit: 1000})
-	fresh.e.SetKeys(bind.Keys{Version: 1, List: []bind.Key{{Epoch: 1}}})
-	fresh.e.SetDocument(fresh.now, fresh.doc)
-	fresh.wait(4 * time.Second)
-	return fresh
-}
-
 // TestIssuerGone checks what a bound request hears when its issuer does not answer.
 func TestIssuerGone(t *testing.T) {
 	cases := map[string]struct {
@@ -320,16 +313,15 @@
 				doc.Services[0].Upstreams = doc.Services[0].Upstreams[:1]
 				doc.Services[0].Upstreams[0].ColdFor = time.Minute
 			})
-			a.e = nil
-			fresh := newAloneUnproved(a)
-			fresh.prove(tc.before)
-			fresh.wait(61 * time.Second)
-			fresh.prove(tc.before)
-			fresh.one(fresh.packet(model.ClassAny, "1"))
-			fresh.wait(1500 * time.Millisecond)
-			fresh.prove(tc.after)
-			a.Equal(fresh.one(fresh.packet(model.ClassAny, "2")).Verb, model.VerbForward)
-			second := fresh.e.Packet(fresh.now, fresh.packet(model.ClassAny, "3"))
+			a.start()
+			a.prove(tc.before)
+			a.wait(61 * time.Second)
+			a.prove(tc.before)
+			a.one(a.packet(model.ClassAny, "1"))
+			a.wait(1500 * time.Millisecond)
+			a.prove(tc.after)
+			a.Equal(a.one(a.packet(model.ClassAny, "2")).Verb, model.VerbForward)
+			second := a.e.Packet(a.now, a.packet(model.ClassAny, "3"))
 			forwarded := len(second) > 0 && second[len(second)-1].Verb == model.VerbForward
 			a.Equal(forwarded, !tc.cold)
 		})
--- a/internal/core/engine/service.go
+++ b/internal/core/engine/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"hawthorncourse/internal/core/choose"
 	"hawthorncourse/internal/core/model"
@@ -149,3 +150,11 @@
 
 // drawLimit bounds the tries to find a usable slot.
 const drawLimit = 16
+
+// silentAfter is the share of a request's time after which it is tried elsewhere.
+const silentAfter = 0.5
+
+// silence is how long a request waits for its first answer, and at most for a slot.
+func (s *service) silence() time.Duration {
+	return time.Duration(silentAfter * float64(s.cfg.RequestTimeout))
+}
--- a/internal/oper/change/change.go
+++ b/internal/oper/change/change.go
@@ -21,8 +21,13 @@
 	keepIDs    = 8
 )
 
-// ErrNone means that no document was ever accepted.
-var ErrNone = eris.New("no document is in force yet; send one with apply")
+// The errors of Read that leave room for a new document.
+var (
+	// ErrNone means that no document was ever accepted.
+	ErrNone = eris.New("no document is in force yet; send one with apply")
+	// ErrUnreadable means that the object on the platform is no document; the draft holds its version and text.
+	ErrUnreadable = eris.New("what the platform holds is no document; instances keep the one before; send one with apply")
+)
 
 // Platform is where the document lives.
 type Platform interface {
@@ -56,7 +61,7 @@
 // Read returns the document in force at the platform.
 func Read(ctx context.Context, p Platform) (d Draft, err error) {
 	defer func() {
-		if err != nil && !errors.Is(err, ErrNone) {
+		if err != nil && !errors.Is(err, ErrNone) && !errors.Is(err, ErrUnreadable) {
 			err = eris.Wrap(err, "read document")
 		}
 	}()
@@ -69,7 +74,7 @@
 	}
 	doc, err := config.Parse(obj.Body)
 	if err != nil {
-		return d, err
+		return Draft{Version: obj.Version, Text: obj.Body}, ErrUnreadable
 	}
 	doc.Version = obj.Version
 	return Draft{Version: obj.Version, Text: obj.Body, Document: doc}, nil
--- a/internal/oper/change/change_test.go
+++ b/internal/oper/change/change_test.go
@@ -151,6 +151,19 @@
 	is.True(strings.Contains(err.Error(), "not known whether"))
 }
 
+// TestUnreadable checks that an object that is no document can be replaced by one.
+func TestUnreadable(t *testing.T) {
+	is := is.New(t)
+	f, good := newFake(t)
+	f.obj = object.Object{Version: 2, Body: []byte("{broken")}
+	base, err := change.Read(context.Background(), f)
+	is.True(errors.Is(err, change.ErrUnreadable))
+	is.Equal(base.Version, model.Version(2))
+	v, err := change.Submit(context.Background(), f, base, good.Text, "me")
+	is.NoErr(err)
+	is.Equal(v, model.Version(3))
+}
+
 func TestSubmitIsRejected(t *testing.T) {
 	is := is.New(t)
 	f, base := newFake(t)
--- a/internal/oper/shell/document.go
+++ b/internal/oper/shell/document.go
@@ -90,7 +90,7 @@
 	ctx, cancel := timed(ctx)
 	defer cancel()
 	base, err := change.Read(ctx, c.client())
-	if err != nil && !errors.Is(err, change.ErrNone) {
+	if err != nil && !errors.Is(err, change.ErrNone) && !errors.Is(err, change.ErrUnreadable) {
 		return failWith(err)
 	}
 	if c.at != 0 && base.Version != model.Version(c.at) {
--- a/internal/proof/whole/document_test.go
+++ b/internal/proof/whole/document_test.go
@@ -14,6 +14,7 @@
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
 	"hawthorncourse/internal/bench/fleet"
+	"hawthorncourse/internal/conf/config"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/oper/change"
 	"hawthorncourse/internal/plat/object"
@@ -174,6 +175,23 @@
 		s.awaitVersion(v, soon)
 	})
 
+	t.Run("an object that is no document changes nothing and is replaced", func(t *testing.T) {
+		is := is.New(t)
+		good, err := change.Read(ctx, client)
+		is.NoErr(err)
+		broken, err := client.Put(ctx, config.ObjectName, good.Version, []byte("{broken"))
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		for _, in := range s.Instances {
+			w, err := in.Status(ctx)
+			is.NoErr(err)
+			is.Equal(w.Document, uint64(good.Version))
+		}
+		v, err := change.Submit(ctx, client, change.Draft{Version: broken}, good.Text, "operator")
+		is.NoErr(err)
+		s.awaitVersion(v, soon)
+	})
+
 	t.Run("an outage of a minute's start is waited for", func(t *testing.T) {
 		is := is.New(t)
 		s.Store.SetDown(true)
--- a/internal/run/entry/objects.go
+++ b/internal/run/entry/objects.go
@@ -107,16 +107,19 @@
 
 // watch follows an object at the platform while this instance is one of its domain's watchers.
 func (e *Entry) watch(ctx context.Context, kind mesh.Kind) error {
+	// seen is the last version that the platform gave, readable or not.
+	var seen model.Version
 	for ctx.Err() == nil {
 		if !e.watcher(kind) {
 			sleep(ctx, watchPause)
 			continue
 		}
 		have, _ := e.Object(kind)
-		obj, err := e.platform.Watch(ctx, objectNames[kind], have)
+		obj, err := e.platform.Watch(ctx, objectNames[kind], max(have, seen))
 		switch {
 		case err == nil:
 			e.Offer(kind, obj.Version, obj.Body)
+			seen = obj.Version
 		case errors.Is(err, object.ErrUnchanged):
 		default:
 			e.counts.Counter("platform.watch_failed").Inc(1)
