Say nothing of a bound request where nothing is known of it

The joined instance had no document yet and refused a doubled copy of a bound booking as not run, which the issuer ran. Ruled out: the issuer (its entry was answered), a second binding (one serial). By the same reasoning refusals of idempotent requests no longer say 'not run': another copy may have gone to another instance.

--- a/internal/core/engine/once_test.go
+++ b/internal/core/engine/once_test.go
@@ -179,6 +179,30 @@
 	}
 }
 
+// TestTurnedAway checks that an instance that knows nothing of a service does not say that a bound request was not run.
+func TestTurnedAway(t *testing.T) {
+	cases := map[string]func(*alone, *model.Packet) *engine.Engine{
+		"it has no document": func(*alone, *model.Packet) *engine.Engine {
+			return engine.New(engine.Config{Self: model.Member{ID: "instance-1", Domain: "east", Boot: 1}, Start: time.Unix(1_700_000_000, 0)})
+		},
+		"its document has no such service": func(a *alone, p *model.Packet) *engine.Engine {
+			p.Flow.Service = addr(99, 5683)
+			return a.e
+		},
+	}
+	for name, other := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newAlone(t, nil)
+			p := a.bound(model.ClassOnce)
+			first := a.packet(model.ClassOnce, "first")
+			e := other(a, p)
+			first.Flow = p.Flow
+			a.Equal(a.last(e.Packet(a.now, p)).Verb, model.VerbDrop)
+			a.Equal(a.last(e.Packet(a.now, first)).Verb, model.VerbRefuse)
+		})
+	}
+}
+
 // TestStartLeavesTime checks that a request that waited too long for its answer to come in time is refused, not forwarded.
 func TestStartLeavesTime(t *testing.T) {
 	a := newAlone(t, func(doc *model.Document) {
--- a/internal/core/engine/packet.go
+++ b/internal/core/engine/packet.go
@@ -6,12 +6,12 @@
 func (e *Engine) Packet(now model.Instant, p *model.Packet) []model.Action {
 	e.begin(now)
 	if e.doc == nil {
-		e.refuse(p, model.ReasonNoDocument)
+		e.turnAway(p, model.ReasonNoDocument)
 		return e.actions
 	}
 	s := e.services[p.Flow.Service]
 	if s == nil {
-		e.refuse(p, model.ReasonNoService)
+		e.turnAway(p, model.ReasonNoService)
 		return e.actions
 	}
 	switch p.Class {
@@ -31,6 +31,15 @@
 	return e.actions
 }
 
+// turnAway refuses a packet that this instance can do nothing with; another copy of a bound request may have been run by its issuer.
+func (e *Engine) turnAway(p *model.Packet, reason model.Reason) {
+	if len(p.Binding) > 0 {
+		e.drop(p, reason)
+		return
+	}
+	e.refuse(p, reason)
+}
+
 // placeElsewhere hands new work to an owner of slots; it reports false when this instance should keep it.
 func (e *Engine) placeElsewhere(now model.Instant, s *service, p *model.Packet) bool {
 	if p.Hops >= model.MaxHops {
--- a/internal/wire/coap/coap.go
+++ b/internal/wire/coap/coap.go
@@ -142,6 +142,7 @@
 // The diagnostic texts that callers may compare.
 const (
 	TextNotRun  = "not run"
+	TextRefused = "refused"
 	TextUnknown = "outcome unknown"
 )
 
@@ -151,14 +152,18 @@
 	return reply(p, codes.Unauthorized, opts, "")
 }
 
-// Refuse answers a request that was not run.
+// Refuse answers a request that is turned away. Only of one that is not idempotent it is known that no copy was run.
 func Refuse(p *model.Packet, reason model.Reason, after time.Duration) ([]byte, error) {
 	var buf [4]byte
 	opts, _, err := message.Options{}.SetUint32(buf[:], message.MaxAge, uint32(after/time.Second))
 	if err != nil {
 		return nil, eris.Wrap(err, "coap: refuse")
 	}
-	return reply(p, codes.ServiceUnavailable, opts, TextNotRun+": "+reason.String())
+	text := TextRefused
+	if p.Class == model.ClassOnce {
+		text = TextNotRun
+	}
+	return reply(p, codes.ServiceUnavailable, opts, text+": "+reason.String())
 }
 
 // Unknown answers a request whose outcome is not known.
--- a/internal/wire/coap/coap_test.go
+++ b/internal/wire/coap/coap_test.go
@@ -110,6 +110,12 @@
 	age, err := m.Options.GetUint32(message.MaxAge)
 	is.NoErr(err)
 	is.Equal(age, uint32(2))
+	p.Class = model.ClassAny
+	raw, err = coap.Refuse(&p, model.ReasonQueueFull, time.Second)
+	is.NoErr(err)
+	_, err = coder.DefaultCoder.Decode(raw, &m)
+	is.NoErr(err)
+	is.Equal(string(m.Payload), "refused: queue_full")
 }
 
 func FuzzPacket(f *testing.F) {
