--- a/internal/proof/whole/planned_test.go
+++ b/internal/proof/whole/planned_test.go
@@ -19,11 +19,12 @@
 		"upstream leaves": func(s *stage) {
 			const id = "ruche-service-3"
 			s.awaitVersion(s.leave(id, true), soon)
-			accepted := time.Now()
-			time.Sleep(soon + 4*time.Second)
-			if late := s.Node(id).Journal().LastNew; late.After(accepted.Add(soon)) {
-				s.t.Errorf("leaving upstream got new work %s after the change", late.Sub(accepted))
-			}
+			s.checkNoNew(id)
+		},
+		"upstream drains by its own word": func(s *stage) {
+			const id = "ruche-service-6"
+			s.Node(id).SetDraining(true)
+			s.checkNoNew(id)
 		},
 		"instance stops": func(s *stage) {
 			in := s.Instances[1]
@@ -68,6 +69,16 @@
 	}
 }
 
+// checkNoNew checks that a leaving upstream gets no new work after a few seconds from now.
+func (s *stage) checkNoNew(id string) {
+	s.t.Helper()
+	began := time.Now()
+	time.Sleep(soon + 4*time.Second)
+	if late := s.Node(id).Journal().LastNew; late.After(began.Add(soon)) {
+		s.t.Errorf("leaving upstream got new work %s after the change", late.Sub(began))
+	}
+}
+
 // doubled makes the fabric send a fifth of callers' packets twice.
 func doubled(setup fleet.Setup) fleet.Setup {
 	setup.Duplicate = 0.2
