Count a service's running requests in one place

Cause: the loads told to peers and the planned stop counted forwarded and waiting requests each with a loop of its own. Found on a last read. Change: one method of the service serves both; behaviour stays. Ruled out: the bounds of cold starts, which stand in the demo and in the proofs on purpose, as a check must not take its bound from what it checks. Measured: go test -count=1 ./internal/core/... passes, the linter finds nothing there; the whole-process suite was not run again.

--- a/internal/core/engine/load.go
+++ b/internal/core/engine/load.go
@@ -45,11 +45,7 @@
 // markLoads follows how busy the slots of each service are.
 func (e *Engine) markLoads(now model.Instant) {
 	for _, s := range e.services {
-		running := s.waiting.Len()
-		for _, up := range s.upstreams {
-			running += up.running
-		}
-		s.busy.set(now, float64(running)/float64(max(s.mine, 1)))
+		s.busy.set(now, float64(s.running())/float64(max(s.mine, 1)))
 	}
 }
 
--- a/internal/core/engine/service.go
+++ b/internal/core/engine/service.go
@@ -158,3 +158,12 @@
 func (s *service) silence() time.Duration {
 	return time.Duration(silentAfter * float64(s.cfg.RequestTimeout))
 }
+
+// running returns the number of the service's requests that are forwarded or wait.
+func (s *service) running() int {
+	n := s.waiting.Len()
+	for _, up := range s.upstreams {
+		n += up.running
+	}
+	return n
+}
--- a/internal/core/engine/tick.go
+++ b/internal/core/engine/tick.go
@@ -143,10 +143,7 @@
 func (e *Engine) running() int {
 	n := 0
 	for _, s := range e.services {
-		n += s.waiting.Len()
-		for _, up := range s.upstreams {
-			n += up.running
-		}
+		n += s.running()
 	}
 	return n
 }
