--- a/internal/core/choose/choose.go
+++ b/internal/core/choose/choose.go
@@ -29,6 +29,25 @@
 	return a
 }
 
+// BestOf picks the best of N random candidates.
+type BestOf[T any] struct {
+	// N is at least one.
+	N     int
+	Score Score[T]
+}
+
+// Pick implements Policy.
+func (p BestOf[T]) Pick(candidates []T, rng *rand.Rand) int {
+	best, top := -1, 0.0
+	for range p.N {
+		i := rng.IntN(len(candidates))
+		if score := p.Score(candidates[i]); best < 0 || score < top {
+			best, top = i, score
+		}
+	}
+	return best
+}
+
 // Random picks any candidate.
 type Random[T any] struct{}
 
--- /dev/null
+++ b/internal/core/direct/engine.go
@@ -0,0 +1,194 @@
+// Package direct steers flows whose packets carry a routing tag and whose upstreams answer callers directly; it does no I/O and reads no clock.
+package direct
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"hawthorncourse/internal/core/choose"
+	"hawthorncourse/internal/core/health"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/place"
+	"hawthorncourse/internal/core/recent"
+	"hawthorncourse/internal/core/roster"
+)
+
+const (
+	// flowLimit bounds memory to about 60 MB; today's services hold 36,000 flows at most.
+	flowLimit = 200_000
+	// defaultFlowIdle is used until a configuration states how long an idle flow is kept.
+	defaultFlowIdle = 15 * time.Second
+)
+
+// Config is what an Engine is built from.
+type Config struct {
+	// Domain is the failure domain of this instance.
+	Domain model.DomainID
+	// Seed feeds every random choice.
+	Seed uint64
+	// FlowLife is the longest life of a flow.
+	FlowLife time.Duration
+	// EvacuateBy is how long packets may still go to a failure domain that is taken out.
+	EvacuateBy time.Duration
+	// ColdFactor multiplies the rate that a cold upstream bears.
+	ColdFactor float64
+	// ColdSlack is the number of flows a second that a cold upstream may get beyond its rate.
+	ColdSlack float64
+	// Policy picks the upstream of a new flow; nil for the default policy.
+	Policy choose.Policy[place.Candidate[*roster.Upstream]]
+}
+
+// Action is one decision to carry out.
+type Action struct {
+	// Verb is VerbForward, VerbReset or VerbDrop.
+	Verb   model.Verb
+	Reason model.Reason
+	Flow   model.FlowKey
+	// Upstream is set for VerbForward.
+	Upstream *roster.Upstream
+	// Raw is the packet to forward.
+	Raw []byte
+	// Position is what the caller last acknowledged; it is set for VerbReset.
+	Position uint32
+}
+
+// Engine steers for one instance; its methods must not be called at the same time.
+type Engine struct {
+	cfg     Config
+	rng     *rand.Rand
+	policy  choose.Policy[place.Candidate[*roster.Upstream]]
+	roster  *roster.Roster
+	table   model.RouteTable
+	routes  map[netip.AddrPort]*route
+	limits  map[model.ServiceID]model.ServiceLimits
+	flows   *recent.Table[model.FlowKey, flow]
+	timers  timers
+	budget  choose.Budget
+	shakes  handshakes
+	domains map[model.DomainID]*health.Track
+	cold    coldLimits
+	// ready is set once routes, upstreams and failure domains are known.
+	ready   bool
+	actions []Action
+	notes   []Note
+	// candidates is reused from one choice to the next.
+	candidates []place.Candidate[*roster.Upstream]
+}
+
+// route is a route with every service that it ever sent flows to, as far as this instance knows.
+type route struct {
+	model.Route
+	// services begins with the present targets.
+	services []model.ServiceID
+}
+
+// New returns an engine that knows no routes and no upstreams yet.
+func New(cfg Config) *Engine {
+	policy := cfg.Policy
+	if policy == nil {
+		policy = place.Policy[*roster.Upstream]()
+	}
+	return &Engine{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		policy:  policy,
+		roster:  roster.New(roster.Config{Remember: cfg.FlowLife}),
+		table:   model.RouteTable{FlowIdle: defaultFlowIdle},
+		routes:  map[netip.AddrPort]*route{},
+		limits:  map[model.ServiceID]model.ServiceLimits{},
+		flows:   recent.New[model.FlowKey, flow](flowLimit),
+		budget:  choose.Budget{Percent: resendPercent},
+		domains: map[model.DomainID]*health.Track{},
+		cold:    coldLimits{},
+	}
+}
+
+// Roster returns the upstreams that the engine knows.
+func (e *Engine) Roster() *roster.Roster {
+	return e.roster
+}
+
+// SetReady lets the engine decide on packets; until then it keeps none.
+func (e *Engine) SetReady() {
+	e.ready = true
+}
+
+// Ready reports whether the engine decides on packets.
+func (e *Engine) Ready() bool {
+	return e.ready
+}
+
+// Revision returns that of the configuration in force.
+func (e *Engine) Revision() model.Revision {
+	return e.table.Revision
+}
+
+// SetRoutes puts a configuration in force unless a newer one is; it reports whether it did.
+func (e *Engine) SetRoutes(t model.RouteTable) bool {
+	if t.Revision <= e.table.Revision {
+		return false
+	}
+	routes := make(map[netip.AddrPort]*route, len(t.Routes))
+	for _, r := range t.Routes {
+		next := &route{Route: r}
+		for _, target := range r.Targets {
+			next.services = append(next.services, target.Service)
+		}
+		if old := e.routes[r.Address]; old != nil {
+			next.services = appendNew(next.services, old.services)
+		}
+		routes[r.Address] = next
+	}
+	e.routes = routes
+	e.limits = make(map[model.ServiceID]model.ServiceLimits, len(t.Services))
+	for _, s := range t.Services {
+		e.limits[s.ID] = s
+	}
+	if t.FlowIdle <= 0 {
+		t.FlowIdle = defaultFlowIdle
+	}
+	e.table = t
+	return true
+}
+
+// appendNew appends the values of more that list lacks.
+func appendNew[T comparable](list, more []T) []T {
+	for _, v := range more {
+		known := false
+		for _, have := range list {
+			known = known || have == v
+		}
+		if !known {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// Tick does what is due; the actions are valid until the next call.
+func (e *Engine) Tick(now model.Instant) []Action {
+	e.actions = e.actions[:0]
+	e.expireHandshakes(now)
+	e.roster.Tick(now)
+	e.cold.tick(now)
+	e.flows.Expire(now, e.table.FlowIdle, func(_ model.FlowKey, f *flow) { f.end() })
+	return e.actions
+}
+
+// Next returns when Tick is due for a handshake; ok is false when none waits.
+func (e *Engine) Next() (at model.Instant, ok bool) {
+	return e.timers.next()
+}
+
+func (e *Engine) forward(up *roster.Upstream, seg *model.Segment, reason model.Reason) {
+	e.actions = append(e.actions, Action{Verb: model.VerbForward, Reason: reason, Flow: seg.Flow, Upstream: up, Raw: seg.Raw})
+}
+
+func (e *Engine) reset(flow model.FlowKey, position uint32, reason model.Reason) {
+	e.actions = append(e.actions, Action{Verb: model.VerbReset, Reason: reason, Flow: flow, Position: position})
+}
+
+func (e *Engine) drop(flow model.FlowKey, reason model.Reason) {
+	e.actions = append(e.actions, Action{Verb: model.VerbDrop, Reason: reason, Flow: flow})
+}
--- /dev/null
+++ b/internal/core/direct/packet.go
@@ -0,0 +1,146 @@
+package direct
+
+import (
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+)
+
+// windowPackets is how many packets a caller may have under way; more prove that earlier ones were acknowledged.
+const windowPackets = 16
+
+// Packet decides on one packet; the actions are valid until the next call.
+func (e *Engine) Packet(now model.Instant, seg *model.Segment) []Action {
+	e.actions = e.actions[:0]
+	switch {
+	case !e.ready:
+		e.drop(seg.Flow, model.ReasonNotReady)
+	case seg.Open:
+		e.open(now, seg)
+	default:
+		e.relay(now, seg)
+	}
+	return e.actions
+}
+
+// relay decides on a packet of a flow that its caller believes open.
+func (e *Engine) relay(now model.Instant, seg *model.Segment) {
+	r := e.routes[seg.Flow.Service]
+	if r == nil {
+		e.reset(seg.Flow, seg.Received, model.ReasonRouteRemoved)
+		return
+	}
+	f := e.flows.Use(now, seg.Flow)
+	up := e.resolve(r, f, seg)
+	if up == nil {
+		e.unresolved(seg)
+		return
+	}
+	if up.State == roster.StateGone {
+		e.ended(seg, f)
+		return
+	}
+	if f == nil {
+		if !e.flows.Put(now, seg.Flow, flow{up: up}) {
+			e.forward(up, seg, model.ReasonNone)
+			return
+		}
+		f = e.flows.Peek(seg.Flow)
+	}
+	f.move(up)
+	e.observe(now, seg, f)
+	e.forward(up, seg, model.ReasonNone)
+	if seg.Aborts {
+		f.end()
+		e.flows.Delete(seg.Flow)
+	}
+}
+
+// resolve returns the upstream of a packet: by its tag among the services of its route, or by what was seen of the flow.
+func (e *Engine) resolve(r *route, f *flow, seg *model.Segment) *roster.Upstream {
+	if seg.Tag != 0 {
+		for _, service := range r.services {
+			if up := e.roster.Find(service, seg.Tag); up != nil {
+				return up
+			}
+		}
+		return nil
+	}
+	if f != nil {
+		return f.up
+	}
+	return nil
+}
+
+// unresolved drops a packet whose upstream nobody here knows: it may be one that only others have heard of.
+func (e *Engine) unresolved(seg *model.Segment) {
+	if seg.Tag == 0 {
+		e.drop(seg.Flow, model.ReasonTagMissing)
+		return
+	}
+	e.drop(seg.Flow, model.ReasonTagUnknown)
+}
+
+// ended answers a packet whose upstream has ended for certain, so that its caller need not wait.
+func (e *Engine) ended(seg *model.Segment, f *flow) {
+	if f != nil {
+		f.end()
+		e.flows.Delete(seg.Flow)
+	}
+	if seg.Aborts {
+		e.drop(seg.Flow, model.ReasonUpstreamGone)
+		return
+	}
+	e.reset(seg.Flow, seg.Received, model.ReasonUpstreamGone)
+}
+
+// observe learns from a caller's packet how its upstream does.
+func (e *Engine) observe(now model.Instant, seg *model.Segment, f *flow) {
+	if !f.open {
+		e.opened(now, seg, f)
+	}
+	if seg.Answers && after(seg.Received, f.received) {
+		f.received = seg.Received
+		e.progress(now, f)
+		f.answer(now)
+	}
+	end := seg.Position + uint32(seg.Size)
+	switch {
+	case seg.Size > 0 && after(end, f.position):
+		f.position = end
+		f.ask(now)
+		if f.ahead++; f.ahead > windowPackets {
+			e.progress(now, f)
+		}
+	case seg.Size > 0 && f.asked != 0 && !f.missed:
+		f.missed = true
+		e.miss(f.up, f.asked)
+	}
+	if seg.Ends {
+		f.end()
+	}
+}
+
+// opened notes that the caller holds an answer from the flow's upstream.
+func (e *Engine) opened(now model.Instant, seg *model.Segment, f *flow) {
+	f.open = true
+	if f.opening != nil {
+		e.alive(now, f.up)
+		if len(f.tried) == 1 {
+			e.shakes.observe(now.Sub(f.sent))
+		}
+	}
+	f.opening, f.tried = nil, nil
+	f.position, f.received = seg.Position, seg.Received
+	f.count()
+}
+
+// progress notes a sign of life within an open flow.
+func (e *Engine) progress(now model.Instant, f *flow) {
+	f.ahead, f.missed = 0, false
+	e.alive(now, f.up)
+}
+
+// after compares positions, which wrap around.
+func after(a, b uint32) bool {
+	return int32(a-b) > 0
+}
--- a/internal/core/model/action.go
+++ b/internal/core/model/action.go
@@ -26,6 +26,8 @@
 	VerbUnknown
 	// VerbDrop only counts.
 	VerbDrop
+	// VerbReset ends a flow towards its caller.
+	VerbReset
 )
 
 // Action is one decision to carry out.
--- /dev/null
+++ b/internal/core/place/place.go
@@ -0,0 +1,59 @@
+package place
+
+import (
+	"math/rand/v2"
+
+	"hawthorncourse/internal/core/choose"
+)
+
+const (
+	// sampleSize is how many upstreams are compared for one flow; instances that compare all would herd on the same one.
+	sampleSize = 3
+	// flowShare is the part of an open flow that counts as a running request: long flows ask about once a second, an answer takes 20 to 50 ms.
+	flowShare = 0.03
+	// remoteFactor is the price of another failure domain: bytes that are billed and a path that a cut breaks.
+	remoteFactor = 1.5
+)
+
+// Candidate is one upstream that a new flow may go to.
+type Candidate[T any] struct {
+	Value T
+	Load  *Load
+	// Slots is the number of requests that it works on at once; at least one.
+	Slots int
+	// Local is set for the instance's own failure domain.
+	Local bool
+}
+
+// Policy returns the way that upstreams of new flows are picked.
+func Policy[T any]() choose.Policy[Candidate[T]] {
+	return choose.BestOf[Candidate[T]]{N: sampleSize, Score: score[T]}
+}
+
+// score is the expected answer time of one more request, in nanoseconds.
+func score[T any](c Candidate[T]) float64 {
+	work := 1 + float64(c.Load.Running) + flowShare*float64(c.Load.Flows)
+	expected := float64(c.Load.AnswerTime()) * work
+	if !c.Local {
+		expected *= remoteFactor
+	}
+	return expected
+}
+
+// Target picks one of several weighted values; weights are above zero.
+func Target[T any](values []T, weight func(T) float64, rng *rand.Rand) T {
+	if len(values) == 1 {
+		return values[0]
+	}
+	var sum float64
+	for _, v := range values {
+		sum += weight(v)
+	}
+	mark := rng.Float64() * sum
+	for _, v := range values {
+		if mark -= weight(v); mark < 0 {
+			return v
+		}
+	}
+	return values[len(values)-1]
+}
--- /dev/null
+++ b/internal/core/roster/roster.go
@@ -0,0 +1,231 @@
+// Package roster keeps what the registry says of upstreams and decides when one has ended for certain.
+package roster
+
+import (
+	"time"
+
+	"hawthorncourse/internal/core/model"
+)
+
+// lapseGrace is how long a missing entry may come back after the registry's return: the platform names about two seconds, and a half is for its delay.
+const lapseGrace = 2500 * time.Millisecond
+
+// Config is what a Roster is built from.
+type Config struct {
+	// Remember is how long the tag of an upstream that has ended is known, which is the life of a flow.
+	Remember time.Duration
+}
+
+// tagKey finds an upstream: tags are compared within one service only.
+type tagKey struct {
+	service model.ServiceID
+	tag     model.RoutingTag
+}
+
+// Roster holds every start of every upstream that flows may belong to.
+type Roster struct {
+	cfg Config
+	// current holds the latest start under each ID; none is gone.
+	current map[model.UpstreamID]*Upstream
+	// tags holds all starts, those that are gone included.
+	tags map[tagKey]*Upstream
+	// services holds the current starts by service.
+	services map[model.ServiceID][]*Upstream
+	// ended holds the starts that are gone, the oldest first.
+	ended []*Upstream
+	// unsure is until when a missing entry proves nothing.
+	unsure model.Instant
+	// out holds the failure domains that operators have taken out.
+	out map[model.DomainID]model.Instant
+	// notes collects changes of state for the log.
+	notes []Note
+}
+
+// Note is one change of what is believed of an upstream.
+type Note struct {
+	Upstream *Upstream
+	State    State
+}
+
+// New returns an empty roster; until the grace is over, a missing entry proves nothing.
+func New(cfg Config) *Roster {
+	return &Roster{
+		cfg:      cfg,
+		current:  map[model.UpstreamID]*Upstream{},
+		tags:     map[tagKey]*Upstream{},
+		services: map[model.ServiceID][]*Upstream{},
+		out:      map[model.DomainID]model.Instant{},
+		unsure:   model.Instant(lapseGrace),
+	}
+}
+
+// Sync takes over a whole listing; what it lacks is missing.
+func (r *Roster) Sync(now model.Instant, list model.Listing[model.Registration]) {
+	listed := make(map[model.UpstreamID]bool, len(list.Items))
+	for i := range list.Items {
+		listed[list.Items[i].ID] = true
+		r.put(now, &list.Items[i])
+	}
+	for _, name := range list.Unreadable {
+		listed[model.UpstreamID(name)] = true
+		r.unreadable(now, model.UpstreamID(name))
+	}
+	for id := range r.current {
+		if !listed[id] {
+			r.missing(now, id)
+		}
+	}
+}
+
+// Apply takes over one change of the registry.
+func (r *Roster) Apply(now model.Instant, c *model.Change[model.Registration]) {
+	switch {
+	case c.Item != nil:
+		r.put(now, c.Item)
+	case c.Removed:
+		r.missing(now, model.UpstreamID(c.Name))
+	default:
+		r.unreadable(now, model.UpstreamID(c.Name))
+	}
+}
+
+// Distrust notes that the registry did not answer: entries that are missing in the time after it may come back.
+func (r *Roster) Distrust(now model.Instant) {
+	r.unsure = now.Add(lapseGrace)
+}
+
+// Tick ends the upstreams whose entry has not come back, and forgets those that ended long ago.
+func (r *Roster) Tick(now model.Instant) {
+	if now >= r.unsure {
+		for _, u := range r.current {
+			if u.State == StateMissing && now.Sub(u.Since) >= lapseGrace {
+				r.end(now, u)
+			}
+		}
+	}
+	for len(r.ended) > 0 && now.Sub(r.ended[0].Since) >= r.cfg.Remember {
+		old := r.ended[0]
+		r.ended = r.ended[1:]
+		if r.tags[old.key()] == old {
+			delete(r.tags, old.key())
+		}
+	}
+}
+
+// Find returns the upstream of the service with the tag, or nil.
+func (r *Roster) Find(service model.ServiceID, tag model.RoutingTag) *Upstream {
+	return r.tags[tagKey{service: service, tag: tag}]
+}
+
+// Of returns the current upstreams of a service; the caller must not change the slice.
+func (r *Roster) Of(service model.ServiceID) []*Upstream {
+	return r.services[service]
+}
+
+// Usable reports whether new flows may go to the upstream.
+func (r *Roster) Usable(u *Upstream) bool {
+	if u.Draining || (u.State != StateListed && u.State != StateMissing) {
+		return false
+	}
+	_, out := r.out[u.Domain]
+	return !out
+}
+
+// SetOut replaces the set of failure domains that operators have taken out.
+func (r *Roster) SetOut(now model.Instant, domains []model.DomainID) {
+	out := make(map[model.DomainID]model.Instant, len(domains))
+	for _, d := range domains {
+		since, was := r.out[d]
+		if !was {
+			since = now
+		}
+		out[d] = since
+	}
+	r.out = out
+}
+
+// Out returns since when a failure domain is out, if it is.
+func (r *Roster) Out(d model.DomainID) (since model.Instant, out bool) {
+	since, out = r.out[d]
+	return since, out
+}
+
+// Len returns the number of current upstreams.
+func (r *Roster) Len() int {
+	return len(r.current)
+}
+
+// Notes returns the changes of state since the last call.
+func (r *Roster) Notes() []Note {
+	notes := r.notes
+	r.notes = nil
+	return notes
+}
+
+// put takes up what an upstream wrote; a new start under an old ID ends the old one.
+func (r *Roster) put(now model.Instant, reg *model.Registration) {
+	u := r.current[reg.ID]
+	if u != nil && reg.Revision != 0 && reg.Revision < u.Revision {
+		return
+	}
+	if u != nil && (u.Boot != reg.Boot || u.Service != reg.Service || u.Address != reg.Address) {
+		r.end(now, u)
+		u = nil
+	}
+	if u == nil {
+		u = &Upstream{Tag: tagOf(reg)}
+		r.current[reg.ID] = u
+		u.Registration = *reg
+		r.services[reg.Service] = append(r.services[reg.Service], u)
+		r.tags[u.key()] = u
+		u.ColdUntil = now.Add(reg.ColdFor)
+	} else if reg.Revision != u.Revision {
+		// The remaining time counts from the write, which was seen only now: the error is on the careful side.
+		u.ColdUntil = now.Add(reg.ColdFor)
+	}
+	u.Registration = *reg
+	r.set(now, u, StateListed)
+}
+
+func (r *Roster) unreadable(now model.Instant, id model.UpstreamID) {
+	if u := r.current[id]; u != nil {
+		r.set(now, u, StateUnreadable)
+	}
+}
+
+// missing notes that an upstream has no entry any more.
+func (r *Roster) missing(now model.Instant, id model.UpstreamID) {
+	u := r.current[id]
+	switch {
+	case u == nil:
+	case now < r.unsure:
+		r.set(now, u, StateMissing)
+	default:
+		r.end(now, u)
+	}
+}
+
+func (r *Roster) end(now model.Instant, u *Upstream) {
+	r.set(now, u, StateGone)
+	delete(r.current, u.ID)
+	kept := r.services[u.Service][:0:0]
+	for _, other := range r.services[u.Service] {
+		if other != u {
+			kept = append(kept, other)
+		}
+	}
+	r.services[u.Service] = kept
+	r.ended = append(r.ended, u)
+}
+
+func (r *Roster) set(now model.Instant, u *Upstream, s State) {
+	if u.State == s {
+		return
+	}
+	u.State, u.Since = s, now
+	r.notes = append(r.notes, Note{Upstream: u, State: s})
+}
+
+func (u *Upstream) key() tagKey {
+	return tagKey{service: u.Service, tag: u.Tag}
+}
--- /dev/null
+++ b/internal/oper/shell/relay.go
@@ -0,0 +1,91 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"hawthorncourse/internal/base/logs"
+	"hawthorncourse/internal/run/relay"
+	"hawthorncourse/platform"
+)
+
+// relayCommand runs one instance that forwards tagged flows.
+type relayCommand struct {
+	metricsPort uint
+}
+
+func (*relayCommand) Name() string     { return "relay" }
+func (*relayCommand) Synopsis() string { return "run one instance on the users' platform" }
+func (*relayCommand) Usage() string {
+	return "relay [-metrics PORT]\n  Run one instance on the users' platform; " + platform.SettingsVariable + " names its settings.\n  SIGTERM begins its planned stop.\n"
+}
+
+func (c *relayCommand) SetFlags(f *flag.FlagSet) {
+	f.UintVar(&c.metricsPort, "metrics", 0, "port that serves counters; 0 for none")
+}
+
+func (c *relayCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		failWith(err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	r, err := relay.New(c.config(settings), logs.New(os.Stdout, logrus.InfoLevel))
+	if err != nil {
+		return failWith(err)
+	}
+	if err := r.Run(ctx); err != nil {
+		return failWith(err)
+	}
+	return exitDone
+}
+
+func (c *relayCommand) config(s platform.Settings) relay.Config {
+	client := platform.NewClient(s.Store, s.Packets.Addr())
+	cfg := relay.Config{
+		Instance:   s.Instance,
+		Domain:     s.Domain,
+		Packets:    s.Packets,
+		Ready:      s.Ready,
+		ReadyPath:  platform.ReadyPath,
+		Codec:      platform.Codec{},
+		Upstreams:  platform.Upstreams(client),
+		Routes:     platform.Routes(client),
+		DomainsOut: platform.DomainsOut(client),
+		ChangeBy:   min(s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Evacuate),
+		EvacuateBy: s.Bounds.Evacuate,
+		StopWithin: s.Bounds.Stop,
+		FlowLife:   s.Bounds.FlowLife,
+		ColdFactor: s.Bounds.ColdFactor,
+		ColdSlack:  s.Bounds.ColdSlack,
+		Reload:     hangups(),
+	}
+	if c.metricsPort != 0 {
+		cfg.Metrics = netip.AddrPortFrom(s.Packets.Addr(), uint16(c.metricsPort))
+	}
+	return cfg
+}
+
+// hangups returns a channel that is signalled at each SIGHUP.
+func hangups() <-chan struct{} {
+	raw, out := make(chan os.Signal, 1), make(chan struct{}, 1)
+	signal.Notify(raw, syscall.SIGHUP)
+	go func() {
+		for range raw {
+			select {
+			case out <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return out
+}
--- a/internal/oper/shell/shell.go
+++ b/internal/oper/shell/shell.go
@@ -33,7 +33,7 @@
 func Register(c *subcommands.Commander) {
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.CommandsCommand(), "")
-	for _, cmd := range []subcommands.Command{&entryCommand{}} {
+	for _, cmd := range []subcommands.Command{&entryCommand{}, &relayCommand{}} {
 		c.Register(cmd, "instances")
 	}
 	for _, cmd := range []subcommands.Command{&checkCommand{}, &applyCommand{}, &showCommand{}, &statusCommand{}, newDrain(), newRestore(), &consoleCommand{}} {
--- /dev/null
+++ b/internal/run/relay/decide.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+)
+
+const (
+	// tickInterval bounds how late lapsed entries are noticed; each wake-up costs processor time.
+	tickInterval = 100 * time.Millisecond
+	// ringPause is how long a duty waits for room in a full ring.
+	ringPause = 5 * time.Millisecond
+	// largestDatagram is above the largest packet of any codec, in bytes.
+	largestDatagram = 2048
+)
+
+// read is the duty that takes packets from the socket.
+func (r *Relay) read(ctx context.Context) error {
+	buf := make([]byte, largestDatagram)
+	for {
+		n, _, err := r.packets.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		seg, err := r.cfg.Codec.Parse(append([]byte(nil), buf[:n]...))
+		if err != nil {
+			r.tally.drop(model.ReasonMalformed)
+			continue
+		}
+		if !r.arrived.Offer(seg) {
+			r.tally.drop(model.ReasonRingFull)
+		}
+	}
+}
+
+// decide is the duty that drives the engine; nothing else touches it.
+func (r *Relay) decide(ctx context.Context) error {
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case seg := <-r.arrived.Items():
+			r.packet(&seg)
+			if r.arrived.Len() > 0 {
+				// Answers that wait come before timers that would call them missing.
+				continue
+			}
+		case c := <-r.commands.Items():
+			c(r.now())
+		case <-timer.C:
+			r.act(r.engine.Tick(r.now()))
+		case <-ctx.Done():
+			return nil
+		}
+		r.report()
+		timer.Reset(r.untilTick())
+	}
+}
+
+// untilTick returns the time to the engine's next handshake timer, or to the next regular tick.
+func (r *Relay) untilTick() time.Duration {
+	at, ok := r.engine.Next()
+	if !ok {
+		return tickInterval
+	}
+	return min(max(at.Sub(r.now()), 0), tickInterval)
+}
+
+func (r *Relay) packet(seg *model.Segment) {
+	now := r.now()
+	r.lastPacket.Store(int64(now))
+	r.act(r.engine.Packet(now, seg))
+}
+
+// act carries out the engine's decisions.
+func (r *Relay) act(actions []direct.Action) {
+	for i := range actions {
+		a := &actions[i]
+		r.tally.count(a.Verb, a.Reason)
+		switch a.Verb {
+		case model.VerbForward:
+			r.datagram = r.cfg.Codec.AppendForward(r.datagram[:0], a.Raw, a.Upstream.Number, a.Upstream.Tag)
+			r.send(a.Upstream.Address)
+		case model.VerbReset:
+			r.datagram = r.cfg.Codec.AppendReset(r.datagram[:0], a.Flow, a.Position)
+			r.send(netip.AddrPortFrom(a.Flow.Caller.Addr(), r.cfg.Packets.Port()))
+		default:
+			if a.Reason == model.ReasonTagUnknown {
+				r.askEarly()
+			}
+		}
+	}
+}
+
+func (r *Relay) send(to netip.AddrPort) {
+	if _, err := r.packets.WriteToUDPAddrPort(r.datagram, to); err != nil {
+		r.tally.drop(model.ReasonSendFailed)
+	}
+}
+
+// askEarly asks the follow duty to read before its time.
+func (r *Relay) askEarly() {
+	select {
+	case r.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// report logs what the engine has come to believe.
+func (r *Relay) report() {
+	log := r.part("health")
+	for _, n := range r.engine.Notes() {
+		switch n.Kind {
+		case direct.NoteUnreachable:
+			log.With("upstream", n.Upstream.ID).With("domain", n.Upstream.Domain).With("misses", n.Misses).Warn("An upstream does not answer; new flows go elsewhere.")
+		case direct.NoteReachable:
+			log.With("upstream", n.Upstream.ID).With("silentFor", n.Silent).Info("An upstream answers again.")
+		case direct.NoteDomainUnreachable:
+			log.With("domain", n.Domain).With("misses", n.Misses).Warn("A failure domain does not answer; new flows go elsewhere.")
+		case direct.NoteDomainReachable:
+			log.With("domain", n.Domain).With("silentFor", n.Silent).Info("A failure domain answers again.")
+		}
+	}
+	for _, n := range r.engine.Roster().Notes() {
+		r.reportUpstream(n)
+	}
+}
+
+func (r *Relay) reportUpstream(n roster.Note) {
+	u := n.Upstream
+	log := r.part("roster").With("upstream", u.ID).With("boot", u.Boot).With("service", u.Service).With("domain", u.Domain).With("revision", u.Revision)
+	log.With("state", n.State).Info("What is known of an upstream has changed.")
+}
--- /dev/null
+++ b/internal/run/relay/relay.go
@@ -0,0 +1,224 @@
+// Package relay runs one instance that forwards tagged flows: its duties, the rings between them and its sockets.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"hawthorncourse/internal/base/count"
+	"hawthorncourse/internal/base/logs"
+	"hawthorncourse/internal/base/ring"
+	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/fresh"
+	"hawthorncourse/internal/core/model"
+)
+
+const (
+	// packetRing holds what arrives in half a second at 8,000 packets a second, after which callers have repeated it.
+	packetRing  = 4096
+	commandRing = 64
+	// socketBuffer is as many packets of the largest size as packetRing holds.
+	socketBuffer = 4 << 20
+)
+
+// Source reads all objects of one kind from the platform.
+type Source[T any] interface {
+	Read(ctx context.Context) (model.Listing[T], error)
+}
+
+// Codec translates between datagrams and segments.
+type Codec interface {
+	// Parse reads a caller's datagram; the segment refers to raw.
+	Parse(raw []byte) (model.Segment, error)
+	// AppendForward appends the datagram that brings a packet to an upstream.
+	AppendForward(dst, raw []byte, number model.EndpointNumber, tag model.RoutingTag) []byte
+	// AppendReset appends the packet that ends a flow towards its caller.
+	AppendReset(dst []byte, flow model.FlowKey, position uint32) []byte
+}
+
+// Config is what a Relay is built from.
+type Config struct {
+	// Instance is the name of this instance.
+	Instance model.InstanceID
+	// Domain is the failure domain that this instance is in.
+	Domain model.DomainID
+	// Packets receives packets from callers; answers to callers go to the same port number.
+	Packets netip.AddrPort
+	// Ready serves the readiness check.
+	Ready netip.AddrPort
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
+	// Metrics serves counters; it may be invalid for none.
+	Metrics netip.AddrPort
+	// Codec translates packets.
+	Codec Codec
+	// Upstreams, Routes and DomainsOut are what the platform knows.
+	Upstreams  Source[model.Registration]
+	Routes     Source[model.RouteTable]
+	DomainsOut Source[model.DomainID]
+	// ChangeBy is the time in which any change must be in force.
+	ChangeBy time.Duration
+	// EvacuateBy is how long packets may still go to a failure domain that is taken out.
+	EvacuateBy time.Duration
+	// StopWithin is the time in which a planned stop must end.
+	StopWithin time.Duration
+	// FlowLife is the longest life of a flow.
+	FlowLife time.Duration
+	// ColdFactor multiplies the rate that a cold upstream bears.
+	ColdFactor float64
+	// ColdSlack is the number of flows a second that a cold upstream may get beyond its rate.
+	ColdSlack float64
+	// Reload is signalled when the settings may have changed; nil for never.
+	Reload <-chan struct{}
+}
+
+// Relay is one running instance.
+type Relay struct {
+	cfg    Config
+	log    *logrus.Logger
+	counts *count.Set
+	tally  *tallies
+	start  time.Time
+
+	engine *direct.Engine
+	pace   fresh.Pace
+
+	packets *net.UDPConn
+	ready   net.Listener
+	metrics net.Listener
+
+	arrived  *ring.Ring[model.Segment]
+	commands *ring.Ring[command]
+	// nudge asks for an early read of the platform.
+	nudge chan struct{}
+
+	// serving is set while the instance wants packets.
+	serving atomic.Bool
+	// lastPacket is the instant at which the last packet was decided on.
+	lastPacket atomic.Int64
+	// datagram is reused by the decide duty.
+	datagram []byte
+}
+
+// command is one change for the decide duty.
+type command func(now model.Instant)
+
+// New opens the sockets of an instance; Run closes them.
+func New(cfg Config, log *logrus.Logger) (r *Relay, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "start instance %s", cfg.Instance)
+		}
+	}()
+	start := time.Now()
+	r = &Relay{
+		cfg:      cfg,
+		log:      log,
+		counts:   count.New(),
+		start:    start,
+		pace:     fresh.Pace{Bound: cfg.ChangeBy},
+		arrived:  ring.New[model.Segment](packetRing),
+		commands: ring.New[command](commandRing),
+		nudge:    make(chan struct{}, 1),
+	}
+	r.tally = newTallies(r.counts)
+	r.engine = direct.New(direct.Config{
+		Domain:     cfg.Domain,
+		Seed:       uint64(start.UnixNano()),
+		FlowLife:   cfg.FlowLife,
+		EvacuateBy: cfg.EvacuateBy,
+		ColdFactor: cfg.ColdFactor,
+		ColdSlack:  cfg.ColdSlack,
+	})
+	if err = r.openSockets(); err != nil {
+		r.closeSockets()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Relay) openSockets() (err error) {
+	if r.packets, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(r.cfg.Packets)); err != nil {
+		return err
+	}
+	if err = r.packets.SetReadBuffer(socketBuffer); err != nil {
+		return err
+	}
+	if r.ready, err = net.Listen("tcp", r.cfg.Ready.String()); err != nil {
+		return err
+	}
+	if r.cfg.Metrics.IsValid() {
+		r.metrics, err = net.Listen("tcp", r.cfg.Metrics.String())
+	}
+	return err
+}
+
+func (r *Relay) closeSockets() {
+	if r.packets != nil {
+		_ = r.packets.Close()
+	}
+	for _, l := range []net.Listener{r.ready, r.metrics} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Run serves until the planned stop that begins when ctx ends is over, or until a duty fails.
+func (r *Relay) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "run instance %s", r.cfg.Instance)
+		}
+	}()
+	r.part("relay").With("instance", r.cfg.Instance).With("domain", r.cfg.Domain).Info("Instance starts.")
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, work := errgroup.WithContext(work)
+	for _, duty := range []func(context.Context) error{r.read, r.decide, r.follow, r.serveReady, r.serveMetrics, r.reload} {
+		g.Go(func() error { return duty(work) })
+	}
+	g.Go(func() error {
+		defer cancel()
+		return r.awaitStop(ctx, work)
+	})
+	stop := context.AfterFunc(work, r.closeSockets)
+	defer stop()
+	err = g.Wait()
+	r.closeSockets()
+	r.part("relay").Info("Instance ends.")
+	return err
+}
+
+// do gives the decide duty a change and waits while its ring is full.
+func (r *Relay) do(ctx context.Context, c command) {
+	for !r.commands.Offer(c) && ctx.Err() == nil {
+		r.counts.Counter("relay.command_ring_full").Inc(1)
+		sleep(ctx, ringPause)
+	}
+}
+
+func (r *Relay) part(name string) logs.Part {
+	return logs.NewPart(r.log, name)
+}
+
+func (r *Relay) now() model.Instant {
+	return model.Instant(time.Since(r.start))
+}
+
+// sleep waits for the time or for the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
