--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -41,11 +41,11 @@
 
 // Action is one decision to carry out.
 type Action struct {
-	// Verb is VerbForward, VerbReset or VerbDrop.
+	// Verb is VerbForward, VerbReset, VerbDrop or VerbProbe.
 	Verb   model.Verb
 	Reason model.Reason
 	Flow   model.FlowKey
-	// Upstream is set for VerbForward.
+	// Upstream is set for VerbForward and VerbProbe.
 	Upstream *roster.Upstream
 	// Raw is the packet to forward.
 	Raw []byte
@@ -66,7 +66,7 @@
 	timers  timers
 	budget  choose.Budget
 	shakes  handshakes
-	domains map[model.DomainID]*health.Track
+	domains map[model.DomainID]*health.Domain
 	cold    coldLimits
 	// ready is set once routes, upstreams and failure domains are known.
 	ready   bool
@@ -99,7 +99,7 @@
 		limits:  map[model.ServiceID]model.ServiceLimits{},
 		flows:   recent.New[model.FlowKey, flow](flowLimit),
 		budget:  choose.Budget{Percent: resendPercent},
-		domains: map[model.DomainID]*health.Track{},
+		domains: map[model.DomainID]*health.Domain{},
 		cold:    coldLimits{},
 	}
 }
@@ -171,6 +171,7 @@
 	e.actions = e.actions[:0]
 	e.expireHandshakes(now)
 	e.roster.Tick(now)
+	e.probeBarred(now)
 	e.cold.tick(now)
 	e.flows.Expire(now, e.table.FlowIdle, func(_ model.FlowKey, f *flow) { f.end() })
 	return e.actions
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -108,7 +108,7 @@
 			e.timers.add(t)
 			continue
 		}
-		e.miss(f.up, t.sent)
+		e.miss(now, f.up, t.sent)
 		e.resend(now, t.flow, f)
 	}
 }
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -36,7 +36,12 @@
 		return
 	}
 	if up.State == roster.StateGone {
-		e.ended(seg, f)
+		e.ended(seg, f, model.ReasonUpstreamGone)
+		return
+	}
+	if seg.Size > 0 && r.Kind == model.RouteIdempotent && e.unreachable(up) {
+		// The caller may repeat its request, and a new flow finds an upstream that can be reached.
+		e.ended(seg, f, model.ReasonUpstreamUnreachable)
 		return
 	}
 	if f == nil {
@@ -80,17 +85,17 @@
 	e.drop(seg.Flow, model.ReasonTagUnknown)
 }
 
-// ended answers a packet whose upstream has ended for certain, so that its caller need not wait.
-func (e *Engine) ended(seg *model.Segment, f *flow) {
+// ended answers a packet whose upstream will not get it, so that its caller need not wait.
+func (e *Engine) ended(seg *model.Segment, f *flow, reason model.Reason) {
 	if f != nil {
 		f.end()
 		e.flows.Delete(seg.Flow)
 	}
 	if seg.Aborts {
-		e.drop(seg.Flow, model.ReasonUpstreamGone)
+		e.drop(seg.Flow, reason)
 		return
 	}
-	e.reset(seg.Flow, seg.Received, model.ReasonUpstreamGone)
+	e.reset(seg.Flow, seg.Received, reason)
 }
 
 // observe learns from a caller's packet how its upstream does.
@@ -113,7 +118,7 @@
 		}
 	case seg.Size > 0 && f.asked != 0 && !f.missed:
 		f.missed = true
-		e.miss(f.up, f.asked)
+		e.miss(now, f.up, f.asked)
 	}
 	if seg.Ends {
 		f.end()
--- /dev/null
+++ b/internal/core/direct/reach.go
@@ -0,0 +1,107 @@
+package direct
+
+import (
+	"hawthorncourse/internal/core/health"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+)
+
+// reachable reports whether new flows may go to the upstream as far as this instance sees.
+func (e *Engine) reachable(u *roster.Upstream) bool {
+	return !u.Health.Barred() && !e.domain(u.Domain).Cut()
+}
+
+// unreachable reports whether an upstream is certain not to hear this instance: flows and a probe went unanswered, or
+// the path to its failure domain is cut.
+func (e *Engine) unreachable(u *roster.Upstream) bool {
+	return u.Health.Unreachable() || e.domain(u.Domain).Cut()
+}
+
+// Isolated reports whether there are upstreams but none that this instance can reach: callers are better off elsewhere.
+func (e *Engine) Isolated() bool {
+	some := false
+	for _, u := range e.roster.All() {
+		if !e.roster.Usable(u) {
+			continue
+		}
+		if e.reachable(u) {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
+// miss counts an unanswered packet against an upstream and lets a probe tell a lost packet from a lost upstream.
+func (e *Engine) miss(now model.Instant, u *roster.Upstream, sent model.Instant) {
+	was := u.Health.Barred()
+	u.Health.Miss(sent)
+	if !was && u.Health.Barred() {
+		e.note(Note{Kind: NoteBarred, Upstream: u})
+	}
+	e.probe(now, u)
+}
+
+// alive notes a sign of life of an upstream.
+func (e *Engine) alive(now model.Instant, u *roster.Upstream) {
+	if u.Health.Barred() {
+		e.note(Note{Kind: NoteReachable, Upstream: u, Silent: u.Health.Silent(now)})
+	}
+	u.Health.Alive(now)
+	e.domainAlive(u.Domain)
+}
+
+// domainAlive notes a sign of life of a failure domain; its other upstreams are then probed at once.
+func (e *Engine) domainAlive(id model.DomainID) {
+	if !e.domain(id).Alive() {
+		return
+	}
+	e.note(Note{Kind: NoteDomainReachable, Domain: id})
+	for _, u := range e.roster.All() {
+		if u.Domain == id {
+			u.Health.Hurry()
+		}
+	}
+}
+
+// probe asks for a probe of an upstream if one is due.
+func (e *Engine) probe(now model.Instant, u *roster.Upstream) {
+	if u.State != roster.StateGone && u.Health.Probe(now) {
+		e.actions = append(e.actions, Action{Verb: model.VerbProbe, Upstream: u})
+	}
+}
+
+// Probed takes the outcome of a probe.
+func (e *Engine) Probed(now model.Instant, u *roster.Upstream, ok bool) {
+	was := u.Health.Barred()
+	u.Health.Probed(now, ok)
+	if ok {
+		if was {
+			e.note(Note{Kind: NoteReachable, Upstream: u})
+		}
+		e.domainAlive(u.Domain)
+		return
+	}
+	if !was && u.Health.Barred() {
+		e.note(Note{Kind: NoteBarred, Upstream: u})
+	}
+	if u.Health.Unreachable() && e.domain(u.Domain).Failed(u.ID) {
+		e.note(Note{Kind: NoteDomainCut, Domain: u.Domain})
+	}
+}
+
+// probeBarred asks for the probes that are due, so that a return is noticed without any caller's packet.
+func (e *Engine) probeBarred(now model.Instant) {
+	for _, u := range e.roster.All() {
+		e.probe(now, u)
+	}
+}
+
+func (e *Engine) domain(id model.DomainID) *health.Domain {
+	d := e.domains[id]
+	if d == nil {
+		d = &health.Domain{}
+		e.domains[id] = d
+	}
+	return d
+}
--- a/internal/core/direct/select.go
+++ b/internal/core/direct/select.go
@@ -1,21 +1,11 @@
 package direct
 
 import (
-	"time"
-
-	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/place"
 	"hawthorncourse/internal/core/roster"
 )
 
-const (
-	// missesUpstream bars an upstream: one lost packet is ordinary, two in a row without a sign of life between them are not.
-	missesUpstream = 2
-	// missesDomain bars a failure domain: more than the upstreams that may die together in one.
-	missesDomain = 4
-)
-
 // choose picks the upstream of a new flow; it returns nil when no upstream may take it.
 func (e *Engine) choose(now model.Instant, r *route, f *flow) *roster.Upstream {
 	target := place.Target(r.Targets, func(t model.Target) float64 { return t.Weight }, e.rng)
@@ -44,7 +34,7 @@
 			if e.cold.admits(u) {
 				cold = append(cold, u)
 			}
-		case !e.reachable(now, u, f):
+		case !e.reachable(u):
 			doubted = append(doubted, u)
 		default:
 			e.addCandidate(u)
@@ -82,90 +72,3 @@
 		Local: u.Domain == e.cfg.Domain,
 	})
 }
-
-// reachable reports whether a new flow may go to the upstream; now and then a first try goes to a barred one.
-func (e *Engine) reachable(now model.Instant, u *roster.Upstream, f *flow) bool {
-	first := len(f.tried) == 0
-	if d := e.domain(u.Domain); d.Misses() >= missesDomain {
-		return first && d.Try(now)
-	}
-	if u.Health.Misses() >= missesUpstream {
-		return first && u.Health.Try(now)
-	}
-	return true
-}
-
-// miss counts an unanswered packet against an upstream and its failure domain.
-func (e *Engine) miss(u *roster.Upstream, sent model.Instant) {
-	before := u.Health.Misses()
-	u.Health.Miss(sent)
-	if after := u.Health.Misses(); before < missesUpstream && after >= missesUpstream {
-		e.note(Note{Kind: NoteUnreachable, Upstream: u, Misses: after})
-	}
-	d := e.domain(u.Domain)
-	before = d.Misses()
-	d.Miss(sent)
-	if after := d.Misses(); before < missesDomain && after >= missesDomain {
-		e.note(Note{Kind: NoteDomainUnreachable, Domain: u.Domain, Misses: after})
-	}
-}
-
-// alive notes a sign of life of an upstream.
-func (e *Engine) alive(now model.Instant, u *roster.Upstream) {
-	if u.Health.Misses() >= missesUpstream {
-		e.note(Note{Kind: NoteReachable, Upstream: u, Silent: u.Health.Silent(now)})
-	}
-	u.Health.Alive(now)
-	d := e.domain(u.Domain)
-	if d.Misses() >= missesDomain {
-		e.note(Note{Kind: NoteDomainReachable, Domain: u.Domain, Silent: d.Silent(now)})
-	}
-	d.Alive(now)
-}
-
-func (e *Engine) domain(id model.DomainID) *health.Track {
-	d := e.domains[id]
-	if d == nil {
-		d = &health.Track{}
-		e.domains[id] = d
-	}
-	return d
-}
-
-// NoteKind says what a note is about.
-type NoteKind uint8
-
-// The kinds of notes.
-const (
-	NoteUnreachable NoteKind = iota + 1
-	NoteReachable
-	NoteDomainUnreachable
-	NoteDomainReachable
-)
-
-// Note is one change of what the engine believes, for the log.
-type Note struct {
-	Kind     NoteKind
-	Upstream *roster.Upstream
-	Domain   model.DomainID
-	// Misses is the number of unanswered packets that decided it.
-	Misses int
-	// Silent is how long there was no answer.
-	Silent time.Duration
-}
-
-// notesLimit bounds the notes that wait for Notes.
-const notesLimit = 1000
-
-func (e *Engine) note(n Note) {
-	if len(e.notes) < notesLimit {
-		e.notes = append(e.notes, n)
-	}
-}
-
-// Notes returns the changes since the last call.
-func (e *Engine) Notes() []Note {
-	notes := e.notes
-	e.notes = nil
-	return notes
-}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -1,4 +1,4 @@
-// Package health judges from real flows alone whether an upstream or a whole failure domain can be reached.
+// Package health judges from real flows, confirmed by probes, whether an upstream or a whole failure domain can be reached.
 package health
 
 import (
@@ -8,32 +8,38 @@
 )
 
 const (
-	// trialPause is the time between two flows that try an unreachable upstream; one in 14 upstreams costs a caller one resend a second.
-	trialPause = time.Second
-	// trialGrowth lengthens the pause after each trial that failed.
-	trialGrowth = 2
-	// trialLimit is a third of the shortest outage that operators plan for (12 s).
-	trialLimit = 4 * time.Second
+	// missLimit bars an upstream: one lost packet is ordinary, two in a row without a sign of life between them are not.
+	missLimit = 2
+	// domainLimit is how many upstreams of a failure domain must fail a probe before the path to the domain is taken as cut.
+	domainLimit = 2
+	// firstPause is the time to the second probe of an upstream.
+	firstPause = 250 * time.Millisecond
+	// pauseGrowth lengthens the pause after each probe.
+	pauseGrowth = 2
+	// pauseLimit keeps the return of an upstream from going unnoticed; one probe a second is a hundredth of its work.
+	pauseLimit = time.Second
 )
 
-// Track follows the signs of life of one thing; its zero value knows nothing and trusts.
+// Track follows the signs of life of one upstream; its zero value knows nothing and trusts.
 type Track struct {
 	// misses counts the packets without an answer since the last sign of life.
 	misses int
-	// since is when the first of them was sent.
+	// failed counts the probes that failed since the last sign of life.
+	failed int
+	// since is when the first unanswered packet was sent.
 	since model.Instant
 	// life is the last sign of life.
 	life model.Instant
-	// trial is when the next flow may try it.
-	trial model.Instant
+	// probing is set while a probe is under way.
+	probing bool
+	// next is when the next probe may begin.
+	next  model.Instant
 	pause time.Duration
 }
 
-// Alive notes a sign of life; it reports whether misses were forgotten with it.
-func (t *Track) Alive(now model.Instant) bool {
-	had := t.misses > 0
-	*t = Track{life: now}
-	return had
+// Alive notes a sign of life in a flow.
+func (t *Track) Alive(now model.Instant) {
+	*t = Track{life: now, probing: t.probing}
 }
 
 // Miss notes that a packet sent at the instant got no answer in time; one sent before the last sign of life says nothing.
@@ -47,6 +53,45 @@
 	t.misses++
 }
 
+// Probe reports whether a probe must begin now; Probed must follow.
+func (t *Track) Probe(now model.Instant) bool {
+	if t.probing || now < t.next || (t.misses == 0 && t.failed == 0) {
+		return false
+	}
+	t.probing = true
+	return true
+}
+
+// Probed notes the outcome of a probe. One that succeeds proves the path, not that flows are served: if packets still go
+// unanswered after it, the next probe waits longer.
+func (t *Track) Probed(now model.Instant, ok bool) {
+	t.probing = false
+	t.pause = min(max(t.pause*pauseGrowth, firstPause), pauseLimit)
+	t.next = now.Add(t.pause)
+	if ok {
+		t.misses, t.failed = 0, 0
+		return
+	}
+	if t.misses > 0 || t.failed > 0 {
+		t.failed++
+	}
+}
+
+// Hurry lets the next probe begin at once.
+func (t *Track) Hurry() {
+	t.next = 0
+}
+
+// Barred reports whether new flows belong elsewhere.
+func (t *Track) Barred() bool {
+	return t.misses >= missLimit || t.failed > 0
+}
+
+// Unreachable reports whether both flows and a probe went unanswered.
+func (t *Track) Unreachable() bool {
+	return t.failed > 0
+}
+
 // Misses returns how many packets in a row got no answer.
 func (t *Track) Misses() int {
 	return t.misses
@@ -60,12 +105,30 @@
 	return now.Sub(t.since)
 }
 
-// Try reports whether one flow may try the unreachable thing now, and then bars others for a while.
-func (t *Track) Try(now model.Instant) bool {
-	if now < t.trial {
-		return false
+// Domain follows the path to one failure domain; its zero value trusts.
+type Domain struct {
+	// failed holds the upstreams whose probes failed since the last sign of life of any of the domain's.
+	failed map[model.UpstreamID]bool
+}
+
+// Alive notes a sign of life of any upstream of the domain; it reports whether the path had been taken as cut.
+func (d *Domain) Alive() bool {
+	was := d.Cut()
+	clear(d.failed)
+	return was
+}
+
+// Failed notes that a probe of one upstream failed; it reports whether the path is taken as cut from now on.
+func (d *Domain) Failed(id model.UpstreamID) bool {
+	was := d.Cut()
+	if d.failed == nil {
+		d.failed = map[model.UpstreamID]bool{}
 	}
-	t.pause = min(max(t.pause*trialGrowth, trialPause), trialLimit)
-	t.trial = now.Add(t.pause)
-	return true
+	d.failed[id] = true
+	return !was && d.Cut()
+}
+
+// Cut reports whether the path to the whole domain is taken as cut.
+func (d *Domain) Cut() bool {
+	return len(d.failed) >= domainLimit
 }
--- a/internal/core/model/action.go
+++ b/internal/core/model/action.go
@@ -28,6 +28,8 @@
 	VerbDrop
 	// VerbReset ends a flow towards its caller.
 	VerbReset
+	// VerbProbe asks whether an upstream can be reached.
+	VerbProbe
 )
 
 // Action is one decision to carry out.
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"hawthorncourse/internal/core/choose"
 )
@@ -12,7 +13,7 @@
 	// flowShare is the part of an open flow that counts as a running request: long flows ask about once a second, an answer takes 20 to 50 ms.
 	flowShare = 0.03
 	// remoteFactor is the price of another failure domain: bytes that are billed and a path that a cut breaks.
-	remoteFactor = 1.5
+	remoteFactor = 2
 )
 
 // Candidate is one upstream that a new flow may go to.
@@ -27,17 +28,47 @@
 
 // Policy returns the way that upstreams of new flows are picked.
 func Policy[T any]() choose.Policy[Candidate[T]] {
-	return choose.BestOf[Candidate[T]]{N: sampleSize, Score: score[T]}
+	return localFirst[T]{sample: choose.BestOf[Candidate[T]]{N: sampleSize, Score: score[T]}}
+}
+
+// localFirst picks within the instance's own failure domain unless another one is better by far.
+type localFirst[T any] struct {
+	sample choose.Policy[Candidate[T]]
+}
+
+// Pick implements choose.Policy.
+func (p localFirst[T]) Pick(candidates []Candidate[T], rng *rand.Rand) int {
+	slices.SortStableFunc(candidates, func(a, b Candidate[T]) int { return order(a.Local) - order(b.Local) })
+	n := 0
+	for n < len(candidates) && candidates[n].Local {
+		n++
+	}
+	local, remote := candidates[:n], candidates[n:]
+	switch {
+	case len(local) == 0:
+		return p.sample.Pick(remote, rng)
+	case len(remote) == 0:
+		return p.sample.Pick(local, rng)
+	}
+	here, there := p.sample.Pick(local, rng), p.sample.Pick(remote, rng)
+	if score(remote[there])*remoteFactor < score(local[here]) {
+		return n + there
+	}
+	return here
+}
+
+// order sorts local candidates first.
+func order(local bool) int {
+	if local {
+		return 0
+	}
+	return 1
 }
 
 // score is the expected answer time of one more request, in nanoseconds.
 func score[T any](c Candidate[T]) float64 {
 	work := 1 + float64(c.Load.Running) + flowShare*float64(c.Load.Flows)
-	expected := float64(c.Load.AnswerTime()) * work
-	if !c.Local {
-		expected *= remoteFactor
-	}
-	return expected
+	return float64(c.Load.AnswerTime()) * work
 }
 
 // Target picks one of several weighted values; weights are above zero.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -31,6 +31,8 @@
 	tags map[tagKey]*Upstream
 	// services holds the current starts by service.
 	services map[model.ServiceID][]*Upstream
+	// all holds the current starts of all services.
+	all []*Upstream
 	// ended holds the starts that are gone, the oldest first.
 	ended []*Upstream
 	// unsure is until when a missing entry proves nothing.
@@ -122,6 +124,11 @@
 	return r.services[service]
 }
 
+// All returns every current upstream; the caller must not change the slice.
+func (r *Roster) All() []*Upstream {
+	return r.all
+}
+
 // Usable reports whether new flows may go to the upstream.
 func (r *Roster) Usable(u *Upstream) bool {
 	if u.Draining || (u.State != StateListed && u.State != StateMissing) {
@@ -177,6 +184,7 @@
 		r.current[reg.ID] = u
 		u.Registration = *reg
 		r.services[reg.Service] = append(r.services[reg.Service], u)
+		r.all = append(r.all, u)
 		r.tags[u.key()] = u
 		u.ColdUntil = now.Add(reg.ColdFor)
 	} else if reg.Revision != u.Revision {
@@ -208,14 +216,20 @@
 func (r *Roster) end(now model.Instant, u *Upstream) {
 	r.set(now, u, StateGone)
 	delete(r.current, u.ID)
-	kept := r.services[u.Service][:0:0]
-	for _, other := range r.services[u.Service] {
+	r.services[u.Service] = without(r.services[u.Service], u)
+	r.all = without(r.all, u)
+	r.ended = append(r.ended, u)
+}
+
+// without returns a copy of the list that lacks one upstream.
+func without(list []*Upstream, u *Upstream) []*Upstream {
+	kept := make([]*Upstream, 0, len(list))
+	for _, other := range list {
 		if other != u {
 			kept = append(kept, other)
 		}
 	}
-	r.services[u.Service] = kept
-	r.ended = append(r.ended, u)
+	return kept
 }
 
 func (r *Roster) set(now model.Instant, u *Upstream, s State) {
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -48,7 +48,7 @@
 	for {
 		select {
 		case seg := <-r.arrived.Items():
-			r.packet(&seg)
+			r.packet(ctx, &seg)
 			if r.arrived.Len() > 0 {
 				// Answers that wait come before timers that would call them missing.
 				continue
@@ -56,11 +56,12 @@
 		case c := <-r.commands.Items():
 			c(r.now())
 		case <-timer.C:
-			r.act(r.engine.Tick(r.now()))
+			r.act(ctx, r.engine.Tick(r.now()))
 		case <-ctx.Done():
 			return nil
 		}
 		r.report()
+		r.isolated.Store(r.engine.Isolated())
 		timer.Reset(r.untilTick())
 	}
 }
@@ -74,14 +75,14 @@
 	return min(max(at.Sub(r.now()), 0), tickInterval)
 }
 
-func (r *Relay) packet(seg *model.Segment) {
+func (r *Relay) packet(ctx context.Context, seg *model.Segment) {
 	now := r.now()
 	r.lastPacket.Store(int64(now))
-	r.act(r.engine.Packet(now, seg))
+	r.act(ctx, r.engine.Packet(now, seg))
 }
 
 // act carries out the engine's decisions.
-func (r *Relay) act(actions []direct.Action) {
+func (r *Relay) act(ctx context.Context, actions []direct.Action) {
 	for i := range actions {
 		a := &actions[i]
 		r.tally.count(a.Verb, a.Reason)
@@ -92,6 +93,8 @@
 		case model.VerbReset:
 			r.datagram = r.cfg.Codec.AppendReset(r.datagram[:0], a.Flow, a.Position)
 			r.send(netip.AddrPortFrom(a.Flow.Caller.Addr(), r.cfg.Packets.Port()))
+		case model.VerbProbe:
+			r.probe(ctx, a.Upstream)
 		default:
 			if a.Reason == model.ReasonTagUnknown {
 				r.askEarly()
@@ -119,12 +122,12 @@
 	log := r.part("health")
 	for _, n := range r.engine.Notes() {
 		switch n.Kind {
-		case direct.NoteUnreachable:
-			log.With("upstream", n.Upstream.ID).With("domain", n.Upstream.Domain).With("misses", n.Misses).Warn("An upstream does not answer; new flows go elsewhere.")
+		case direct.NoteBarred:
+			log.With("upstream", n.Upstream.ID).With("domain", n.Upstream.Domain).With("misses", n.Upstream.Health.Misses()).Warn("An upstream does not answer; new flows go elsewhere.")
 		case direct.NoteReachable:
 			log.With("upstream", n.Upstream.ID).With("silentFor", n.Silent).Info("An upstream answers again.")
-		case direct.NoteDomainUnreachable:
-			log.With("domain", n.Domain).With("misses", n.Misses).Warn("A failure domain does not answer; new flows go elsewhere.")
+		case direct.NoteDomainCut:
+			log.With("domain", n.Domain).Warn("A failure domain does not answer; new flows go elsewhere.")
 		case direct.NoteDomainReachable:
 			log.With("domain", n.Domain).With("silentFor", n.Silent).Info("A failure domain answers again.")
 		}
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -101,6 +101,8 @@
 
 	// serving is set while the instance wants packets.
 	serving atomic.Bool
+	// isolated is set while no upstream can be reached.
+	isolated atomic.Bool
 	// lastPacket is the instant at which the last packet was decided on.
 	lastPacket atomic.Int64
 	// datagram is reused by the decide duty.
--- a/internal/run/relay/serve.go
+++ b/internal/run/relay/serve.go
@@ -15,7 +15,7 @@
 func (r *Relay) serveReady(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+r.cfg.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !r.serving.Load() {
+		if !r.serving.Load() || r.isolated.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/run/relay/tally.go
+++ b/internal/run/relay/tally.go
@@ -12,6 +12,7 @@
 	model.VerbForward: "flow.forward",
 	model.VerbReset:   "flow.reset",
 	model.VerbDrop:    "flow.drop",
+	model.VerbProbe:   "upstream.probe",
 }
 
 // tallies holds a counter for each verb and reason, made at its first use.
