Take certainty from each upstream's own probes before a reset

Ruled out: raising the number of dead upstreams that make a cut (a release kills more). Change: a domain that looks cut bars new flows and has each of its upstreams probed; a flow is reset only after two failed probes of its own upstream.

--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -11,12 +11,6 @@
 	return !u.Health.Barred() && !e.domain(u.Domain).Cut()
 }
 
-// unreachable reports whether an upstream is certain not to hear this instance: flows and a probe went unanswered, or
-// the path to its failure domain is cut.
-func (e *Engine) unreachable(u *roster.Upstream) bool {
-	return u.Health.Unreachable() || e.domain(u.Domain).Cut()
-}
-
 // Isolated reports whether there are upstreams but none that this instance can reach: callers are better off elsewhere.
 func (e *Engine) Isolated() bool {
 	some := false
@@ -85,8 +79,19 @@
 	if !was && u.Health.Barred() {
 		e.note(Note{Kind: NoteBarred, Upstream: u})
 	}
-	if u.Health.Unreachable() && e.domain(u.Domain).Failed(u.ID) {
-		e.note(Note{Kind: NoteDomainCut, Domain: u.Domain})
+	if u.Health.Barred() && e.domain(u.Domain).Failed(u.ID) {
+		e.domainCut(now, u.Domain)
+	}
+}
+
+// domainCut takes the path to a failure domain as cut. Each upstream there is then probed for itself, since several
+// that died at once look the same and open flows of the others go on.
+func (e *Engine) domainCut(now model.Instant, id model.DomainID) {
+	e.note(Note{Kind: NoteDomainCut, Domain: id})
+	for _, u := range e.roster.All() {
+		if u.Domain == id {
+			u.Health.Doubt(now)
+		}
 	}
 }
 
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -12,8 +12,10 @@
 	missLimit = 2
 	// domainLimit is how many upstreams of a failure domain must fail a probe before the path to the domain is taken as cut.
 	domainLimit = 2
-	// firstPause is the time to the second probe of an upstream.
-	firstPause = 250 * time.Millisecond
+	// certainLimit is how many probes must fail before an upstream is certain not to hear this instance.
+	certainLimit = 2
+	// firstPause is the time to the second probe of an upstream; a caller repeats data for the second time after 600 ms.
+	firstPause = 100 * time.Millisecond
 	// pauseGrowth lengthens the pause after each probe.
 	pauseGrowth = 2
 	// pauseLimit keeps the return of an upstream from going unnoticed; one probe a second is a hundredth of its work.
@@ -53,6 +55,13 @@
 	t.misses++
 }
 
+// Doubt lets a probe find out about an upstream that was not used lately.
+func (t *Track) Doubt(now model.Instant) {
+	if t.misses == 0 && t.failed == 0 {
+		t.misses, t.since = 1, now
+	}
+}
+
 // Probe reports whether a probe must begin now; Probed must follow.
 func (t *Track) Probe(now model.Instant) bool {
 	if t.probing || now < t.next || (t.misses == 0 && t.failed == 0) {
@@ -87,9 +96,9 @@
 	return t.misses >= missLimit || t.failed > 0
 }
 
-// Unreachable reports whether both flows and a probe went unanswered.
+// Unreachable reports whether flows and repeated probes went unanswered, without a sign of life between them.
 func (t *Track) Unreachable() bool {
-	return t.failed > 0
+	return t.failed >= certainLimit
 }
 
 // Misses returns how many packets in a row got no answer.
