Wait for a binding key that is on its way instead of cutting what is bound under it

A booking lasts 2 s and keys rotate 5 s apart, so its key cannot have been too old: a packet bound under the new key reached an instance before that key did. A stream was moved to another upstream in the same way. Change: a key ahead of the newest known one is told from one that is no longer accepted; its packet is dropped with key_ahead, and the caller's next copy is served.

--- a/internal/core/bind/bind.go
+++ b/internal/core/bind/bind.go
@@ -36,6 +36,8 @@
 var (
 	ErrForged     = errors.New("binding is not ours or not for this caller and service")
 	ErrUnknownKey = errors.New("binding key is not known here")
+	// ErrKeyAhead means that others have a newer key than any known here.
+	ErrKeyAhead = errors.New("binding key is not known here yet")
 )
 
 // Binding is the content of a binding.
@@ -126,6 +128,9 @@
 		b.Epoch = k.epoch
 		return b, nil
 	}
+	if len(s.macs) > 0 && int8(raw[bodySize-1]-byte(s.macs[0].epoch)) > 0 {
+		return Binding{}, ErrKeyAhead
+	}
 	return Binding{}, ErrUnknownKey
 }
 
--- a/internal/core/engine/once.go
+++ b/internal/core/engine/once.go
@@ -17,6 +17,9 @@
 	}
 	b, err := e.sealer.Open(p.Flow, p.Binding)
 	switch {
+	case errors.Is(err, bind.ErrKeyAhead):
+		// The key is on its way here; the caller's next copy finds it, or an instance that has it.
+		e.drop(p, model.ReasonKeyAhead)
 	case errors.Is(err, bind.ErrUnknownKey):
 		e.unknown(p, model.ReasonBindingExpired)
 	case err != nil:
--- a/internal/core/engine/sticky.go
+++ b/internal/core/engine/sticky.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"errors"
+
 	"hawthorncourse/internal/core/bind"
 	"hawthorncourse/internal/core/choose"
 	"hawthorncourse/internal/core/model"
@@ -22,6 +24,10 @@
 		return
 	}
 	up, reason := e.bound(now, s, p)
+	if reason == model.ReasonKeyAhead {
+		e.drop(p, reason)
+		return
+	}
 	if up == nil {
 		e.offerStream(now, s, p, reason)
 		return
@@ -33,6 +39,10 @@
 // bound returns the upstream that the packet's binding names, or why the binding does not hold.
 func (e *Engine) bound(now model.Instant, s *service, p *model.Packet) (*upstream, model.Reason) {
 	b, err := e.sealer.Open(p.Flow, p.Binding)
+	if errors.Is(err, bind.ErrKeyAhead) {
+		// The stream goes on once the key is here; another binding would move it.
+		return nil, model.ReasonKeyAhead
+	}
 	if err != nil || b.Use != bind.UseStream {
 		return nil, model.ReasonBindingForged
 	}
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -46,6 +46,7 @@
 	ReasonCallerRepeats
 	ReasonDomainOut
 	ReasonRouteRemoved
+	ReasonKeyAhead
 	reasonCount
 )
 
@@ -91,6 +92,7 @@
 	ReasonCallerRepeats:       "caller_repeats",
 	ReasonDomainOut:           "domain_out",
 	ReasonRouteRemoved:        "route_removed",
+	ReasonKeyAhead:            "key_ahead",
 }
 
 // String returns the name that counters use.
