Call a failure domain cut only if none of its upstreams shows life

Change: a cut needs 300 ms without any sign of life from the domain; at most eight probes are under way; a probe during which the process stood still says nothing.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -68,6 +68,8 @@
 	shakes  handshakes
 	domains map[model.DomainID]*health.Domain
 	cold    coldLimits
+	// probing counts the probes under way; at most probesAtOnce.
+	probing int
 	// ready is set once routes, upstreams and failure domains are known.
 	ready   bool
 	actions []Action
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -6,6 +6,9 @@
 	"hawthorncourse/internal/core/roster"
 )
 
+// probesAtOnce bounds the probes under way; with a timeout of 100 ms that is 80 connections a second at most.
+const probesAtOnce = 8
+
 // reachable reports whether new flows may go to the upstream as far as this instance sees.
 func (e *Engine) reachable(u *roster.Upstream) bool {
 	return !u.Health.Barred() && !e.domain(u.Domain).Cut()
@@ -42,12 +45,12 @@
 		e.note(Note{Kind: NoteReachable, Upstream: u, Silent: u.Health.Silent(now)})
 	}
 	u.Health.Alive(now)
-	e.domainAlive(u.Domain)
+	e.domainAlive(now, u.Domain)
 }
 
 // domainAlive notes a sign of life of a failure domain; its other upstreams are then probed at once.
-func (e *Engine) domainAlive(id model.DomainID) {
-	if !e.domain(id).Alive() {
+func (e *Engine) domainAlive(now model.Instant, id model.DomainID) {
+	if !e.domain(id).Alive(now) {
 		return
 	}
 	e.note(Note{Kind: NoteDomainReachable, Domain: id})
@@ -60,26 +63,28 @@
 
 // probe asks for a probe of an upstream if one is due.
 func (e *Engine) probe(now model.Instant, u *roster.Upstream) {
-	if u.State != roster.StateGone && u.Health.Probe(now) {
+	if u.State != roster.StateGone && e.probing < probesAtOnce && u.Health.Probe(now) {
+		e.probing++
 		e.actions = append(e.actions, Action{Verb: model.VerbProbe, Upstream: u})
 	}
 }
 
 // Probed takes the outcome of a probe.
-func (e *Engine) Probed(now model.Instant, u *roster.Upstream, ok bool) {
+func (e *Engine) Probed(now model.Instant, u *roster.Upstream, outcome health.Outcome) {
 	was := u.Health.Barred()
-	u.Health.Probed(now, ok)
-	if ok {
+	u.Health.Probed(now, outcome)
+	e.probing--
+	if outcome == health.OutcomeAnswered {
 		if was {
 			e.note(Note{Kind: NoteReachable, Upstream: u})
 		}
-		e.domainAlive(u.Domain)
+		e.domainAlive(now, u.Domain)
 		return
 	}
 	if !was && u.Health.Barred() {
 		e.note(Note{Kind: NoteBarred, Upstream: u})
 	}
-	if u.Health.Barred() && e.domain(u.Domain).Failed(u.ID) {
+	if outcome == health.OutcomeSilent && u.Health.Barred() && e.domain(u.Domain).Failed(now, u.ID) {
 		e.domainCut(now, u.Domain)
 	}
 }
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -12,6 +12,9 @@
 	missLimit = 2
 	// domainLimit is how many upstreams of a failure domain must fail a probe before the path to the domain is taken as cut.
 	domainLimit = 2
+	// domainSilence is how long none of its upstreams may have shown a sign of life by then; some of several that live
+	// would have done so at ten flows a second.
+	domainSilence = 300 * time.Millisecond
 	// certainLimit is how many probes must fail before an upstream is certain not to hear this instance.
 	certainLimit = 2
 	// firstPause is the time to the second probe of an upstream; a caller repeats data for the second time after 600 ms.
@@ -22,6 +25,19 @@
 	pauseLimit = time.Second
 )
 
+// Outcome is what a probe showed.
+type Outcome uint8
+
+// The outcomes of probes.
+const (
+	// OutcomeAnswered means that the upstream's machine can be reached.
+	OutcomeAnswered Outcome = iota + 1
+	// OutcomeSilent means that there was no answer in time.
+	OutcomeSilent
+	// OutcomeUnknown means that this instance stood still meanwhile, so that the silence may be its own.
+	OutcomeUnknown
+)
+
 // Track follows the signs of life of one upstream; its zero value knows nothing and trusts.
 type Track struct {
 	// misses counts the packets without an answer since the last sign of life.
@@ -73,16 +89,17 @@
 
 // Probed notes the outcome of a probe. One that succeeds proves the path, not that flows are served: if packets still go
 // unanswered after it, the next probe waits longer.
-func (t *Track) Probed(now model.Instant, ok bool) {
+func (t *Track) Probed(now model.Instant, outcome Outcome) {
 	t.probing = false
 	t.pause = min(max(t.pause*pauseGrowth, firstPause), pauseLimit)
 	t.next = now.Add(t.pause)
-	if ok {
+	switch outcome {
+	case OutcomeAnswered:
 		t.misses, t.failed = 0, 0
-		return
-	}
-	if t.misses > 0 || t.failed > 0 {
-		t.failed++
+	case OutcomeSilent:
+		if t.misses > 0 || t.failed > 0 {
+			t.failed++
+		}
 	}
 }
 
@@ -118,26 +135,34 @@
 type Domain struct {
 	// failed holds the upstreams whose probes failed since the last sign of life of any of the domain's.
 	failed map[model.UpstreamID]bool
+	// life is the last sign of life of any of them.
+	life model.Instant
+	// cut is set while the path is taken as cut.
+	cut bool
 }
 
 // Alive notes a sign of life of any upstream of the domain; it reports whether the path had been taken as cut.
-func (d *Domain) Alive() bool {
-	was := d.Cut()
+func (d *Domain) Alive(now model.Instant) bool {
+	was := d.cut
+	d.life, d.cut = now, false
 	clear(d.failed)
 	return was
 }
 
 // Failed notes that a probe of one upstream failed; it reports whether the path is taken as cut from now on.
-func (d *Domain) Failed(id model.UpstreamID) bool {
-	was := d.Cut()
+func (d *Domain) Failed(now model.Instant, id model.UpstreamID) bool {
 	if d.failed == nil {
 		d.failed = map[model.UpstreamID]bool{}
 	}
 	d.failed[id] = true
-	return !was && d.Cut()
+	if d.cut || len(d.failed) < domainLimit || now.Sub(d.life) < domainSilence {
+		return false
+	}
+	d.cut = true
+	return true
 }
 
 // Cut reports whether the path to the whole domain is taken as cut.
 func (d *Domain) Cut() bool {
-	return len(d.failed) >= domainLimit
+	return d.cut
 }
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -45,6 +45,7 @@
 func (r *Relay) decide(ctx context.Context) error {
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
+	due := r.now().Add(tickInterval)
 	for {
 		select {
 		case seg := <-r.arrived.Items():
@@ -56,13 +57,19 @@
 		case c := <-r.commands.Items():
 			c(r.now())
 		case <-timer.C:
-			r.act(ctx, r.engine.Tick(r.now()))
+			now := r.now()
+			if now.Sub(due) > stallLimit {
+				r.stalled.Store(int64(now))
+			}
+			r.act(ctx, r.engine.Tick(now))
 		case <-ctx.Done():
 			return nil
 		}
 		r.report()
 		r.isolated.Store(r.engine.Isolated())
-		timer.Reset(r.untilTick())
+		wait := r.untilTick()
+		due = r.now().Add(wait)
+		timer.Reset(wait)
 	}
 }
 
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
+	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
@@ -12,22 +15,28 @@
 const (
 	// probeTimeout is above ten times the round trip between failure domains of one region.
 	probeTimeout = 100 * time.Millisecond
-	// probeStall is how much later than its timeout a probe may end before this instance must have stood still itself.
-	probeStall = 50 * time.Millisecond
+	// stallLimit is how late a timer of this process may fire before it must have stood still.
+	stallLimit = 25 * time.Millisecond
 )
 
 // probe opens a connection to an upstream and closes it: that occupies none of its slots.
 func (r *Relay) probe(ctx context.Context, u *roster.Upstream) {
 	address := u.Address.String()
 	go func() {
-		start := time.Now()
+		start := r.now()
 		dialer := net.Dialer{Timeout: probeTimeout}
 		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if conn != nil {
+		outcome := health.OutcomeAnswered
+		switch {
+		case conn != nil:
 			_ = conn.Close()
+		case errors.Is(err, syscall.ECONNREFUSED):
+			// The machine answers; what it says of its process is for the registry to confirm.
+		case model.Instant(r.stalled.Load()) >= start || r.now().Sub(start) > probeTimeout+stallLimit:
+			outcome = health.OutcomeUnknown
+		default:
+			outcome = health.OutcomeSilent
 		}
-		// A probe that ended too late says nothing: it counts as a success, and packets without an answer ask for another.
-		ok := err == nil || time.Since(start) > probeTimeout+probeStall
-		r.do(ctx, func(now model.Instant) { r.engine.Probed(now, u, ok) })
+		r.do(ctx, func(now model.Instant) { r.engine.Probed(now, u, outcome) })
 	}()
 }
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -103,6 +103,8 @@
 	serving atomic.Bool
 	// isolated is set while no upstream can be reached.
 	isolated atomic.Bool
+	// stalled is the instant at which a timer last fired so late that the process must have stood still.
+	stalled atomic.Int64
 	// lastPacket is the instant at which the last packet was decided on.
 	lastPacket atomic.Int64
 	// datagram is reused by the decide duty.
