Let one instance of a failure domain read the store and tell the others

Ruled out: watches (an empty one proves nothing while history is dropped), stale reads (seconds old). Change: an entry in the store names the reader of each failure domain. The others wait for its next word over net/rpc (internal/peer/share); whoever finds it silent or outdated reads for itself and claims the entry by a conditional write (core/fresh). A start without the store asks the seeds. mesh and share use one set of links.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -7,8 +7,8 @@
 	"hawthorncourse/internal/core/model"
 )
 
-// lapseGrace is how long a missing entry may come back after the registry's return: the platform names about two seconds, and a half is for its delay.
-const lapseGrace = 2500 * time.Millisecond
+// LapseGrace is how long a missing entry may come back after the registry's return: the platform names about two seconds, and a half is for its delay.
+const LapseGrace = 2500 * time.Millisecond
 
 // Config is what a Roster is built from.
 type Config struct {
@@ -57,7 +57,7 @@
 		tags:     map[tagKey]*Upstream{},
 		services: map[model.ServiceID][]*Upstream{},
 		out:      map[model.DomainID]model.Instant{},
-		unsure:   model.Instant(lapseGrace),
+		unsure:   model.Instant(LapseGrace),
 	}
 }
 
@@ -91,16 +91,16 @@
 	}
 }
 
-// Distrust notes that the registry did not answer: entries that are missing in the time after it may come back.
-func (r *Roster) Distrust(now model.Instant) {
-	r.unsure = now.Add(lapseGrace)
+// Distrust notes that the registry was away: until then, a missing entry may come back.
+func (r *Roster) Distrust(until model.Instant) {
+	r.unsure = max(r.unsure, until)
 }
 
 // Tick ends the upstreams whose entry has not come back, and forgets those that ended long ago.
 func (r *Roster) Tick(now model.Instant) {
 	if now >= r.unsure {
 		for _, u := range r.current {
-			if u.State == StateMissing && now.Sub(u.Since) >= lapseGrace {
+			if u.State == StateMissing && now.Sub(u.Since) >= LapseGrace {
 				r.end(now, u)
 			}
 		}
--- a/internal/peer/mesh/links.go
+++ b/internal/peer/links/links.go
@@ -1,4 +1,5 @@
-package mesh
+// Package links keeps the connections of calls between instances.
+package links
 
 import (
 	"context"
@@ -19,27 +20,27 @@
 	dialTimeout = time.Second
 )
 
-// The errors of calls.
-var (
-	errTimeout     = eris.New("peer did not answer in time")
-	errUnknownPeer = eris.New("peer is not known")
-	errUnknownKind = eris.New("kind of object is not known")
-)
+// ErrTimeout means that a peer did not answer in time.
+var ErrTimeout = eris.New("peer did not answer in time")
 
-// links keeps a connection to each peer that was called lately.
-type links struct {
+// Links keeps a connection to each peer that was called lately.
+type Links struct {
 	dialer  net.Dialer
 	in, out tally.Counter
+	// failed counts connections that could not be accepted.
+	failed tally.Counter
 
 	mu sync.Mutex
 	// clients is guarded by mu and holds at most linkLimit.
 	clients map[netip.AddrPort]*rpc.Client
 }
 
-func newLinks(local net.Addr, counts *count.Set) *links {
-	l := &links{
-		in:      counts.Counter("mesh.bytes_in"),
-		out:     counts.Counter("mesh.bytes_out"),
+// New returns links that call from the local address; counters begin with the name.
+func New(name string, local net.Addr, counts *count.Set) *Links {
+	l := &Links{
+		in:      counts.Counter(name + ".bytes_in"),
+		out:     counts.Counter(name + ".bytes_out"),
+		failed:  counts.Counter(name + ".accept_failed"),
 		clients: map[netip.AddrPort]*rpc.Client{},
 	}
 	l.dialer.Timeout = dialTimeout
@@ -49,15 +50,15 @@
 	return l
 }
 
-// call calls a method of the peer and gives up after the time.
-func (l *links) call(ctx context.Context, addr netip.AddrPort, method string, args, reply any, patience time.Duration) error {
+// Call calls a method of the peer and gives up after the time.
+func (l *Links) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any, patience time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	c, err := l.client(ctx, addr)
 	if err != nil {
 		return err
 	}
-	call := c.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error != nil {
@@ -66,11 +67,11 @@
 		return call.Error
 	case <-ctx.Done():
 		l.drop(addr, c)
-		return errTimeout
+		return ErrTimeout
 	}
 }
 
-func (l *links) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+func (l *Links) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
 	l.mu.Lock()
 	c := l.clients[addr]
 	l.mu.Unlock()
@@ -87,7 +88,7 @@
 		_ = conn.Close()
 		return other, nil
 	}
-	c = rpc.NewClient(l.count(conn))
+	c = rpc.NewClient(l.Count(conn))
 	if len(l.clients) >= linkLimit {
 		l.evict()
 	}
@@ -96,7 +97,7 @@
 }
 
 // evict closes any one connection.
-func (l *links) evict() {
+func (l *Links) evict() {
 	for addr, c := range l.clients {
 		delete(l.clients, addr)
 		_ = c.Close()
@@ -104,7 +105,7 @@
 	}
 }
 
-func (l *links) drop(addr netip.AddrPort, c *rpc.Client) {
+func (l *Links) drop(addr netip.AddrPort, c *rpc.Client) {
 	l.mu.Lock()
 	if l.clients[addr] == c {
 		delete(l.clients, addr)
@@ -113,7 +114,8 @@
 	_ = c.Close()
 }
 
-func (l *links) close() {
+// Close closes every connection.
+func (l *Links) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for addr, c := range l.clients {
@@ -122,7 +124,8 @@
 	}
 }
 
-func (l *links) count(conn net.Conn) net.Conn {
+// Count returns a connection whose bytes are counted.
+func (l *Links) Count(conn net.Conn) net.Conn {
 	return countedConn{Conn: conn, in: l.in, out: l.out}
 }
 
@@ -143,3 +146,26 @@
 	c.out.Inc(int64(n))
 	return n, err
 }
+
+// acceptPause keeps a listener without descriptors from spinning.
+const acceptPause = 10 * time.Millisecond
+
+// Serve answers calls that arrive at the listener until ctx ends; it then closes the listener and every connection.
+func (l *Links) Serve(ctx context.Context, listener net.Listener, srv *rpc.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			l.failed.Inc(1)
+			time.Sleep(acceptPause)
+			continue
+		}
+		counted := l.Count(conn)
+		context.AfterFunc(ctx, func() { _ = counted.Close() })
+		go srv.ServeConn(counted)
+	}
+}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"hawthorncourse/internal/core/engine"
 	"hawthorncourse/internal/core/member"
 	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/peer/links"
 )
 
 // Kind names one of the objects that instances keep alike.
@@ -70,7 +71,7 @@
 // Mesh is this instance's part of the mesh.
 type Mesh struct {
 	cfg   Config
-	links *links
+	links *links.Links
 	pulls *ring.Ring[pull]
 	push  *ring.Ring[struct{}]
 
@@ -88,7 +89,7 @@
 func New(cfg Config) *Mesh {
 	return &Mesh{
 		cfg:   cfg,
-		links: newLinks(cfg.Listener.Addr(), cfg.Counts),
+		links: links.New("mesh", cfg.Listener.Addr(), cfg.Counts),
 		pulls: ring.New[pull](pullRing),
 		push:  ring.New[struct{}](pushRing),
 		list:  member.New(cfg.Member),
@@ -103,7 +104,7 @@
 	g.Go(func() error { return m.pullAll(ctx) })
 	g.Go(func() error { return m.pushAll(ctx) })
 	err := g.Wait()
-	m.links.close()
+	m.links.Close()
 	return err
 }
 
@@ -152,7 +153,7 @@
 		return errUnknownPeer
 	}
 	var done Done
-	return m.links.call(ctx, peer.Control, method, args, &done, pullTimeout)
+	return m.links.Call(ctx, peer.Control, serviceName+"."+method, args, &done, pullTimeout)
 }
 
 func (m *Mesh) find(id model.InstanceID) (model.Member, bool) {
--- a/internal/peer/mesh/probe.go
+++ b/internal/peer/mesh/probe.go
@@ -52,7 +52,7 @@
 	for _, h := range helpers {
 		go func() {
 			var reply HelpReply
-			err := m.links.call(ctx, h.Control, "Help", HelpArgs{Target: toWire(target)}, &reply, patience)
+			err := m.links.Call(ctx, h.Control, serviceName+".Help", HelpArgs{Target: toWire(target)}, &reply, patience)
 			answered <- err == nil && reply.Answered
 		}()
 	}
@@ -75,7 +75,7 @@
 	patience := m.list.Patience()
 	m.mu.Unlock()
 	var reply PingReply
-	if err := m.links.call(ctx, target.Control, "Ping", args, &reply, patience); err != nil {
+	if err := m.links.Call(ctx, target.Control, serviceName+".Ping", args, &reply, patience); err != nil {
 		return err
 	}
 	m.mu.Lock()
--- a/internal/peer/mesh/pull.go
+++ b/internal/peer/mesh/pull.go
@@ -48,7 +48,7 @@
 	have, _ := m.cfg.Host.Object(p.kind)
 	var reply PullReply
 	args := PullArgs{Kind: uint8(p.kind), Above: uint64(have)}
-	if err := m.links.call(ctx, p.from.Control, "Pull", args, &reply, pullTimeout); err != nil {
+	if err := m.links.Call(ctx, p.from.Control, serviceName+".Pull", args, &reply, pullTimeout); err != nil {
 		m.cfg.Counts.Counter("mesh.pull_failed").Inc(1)
 		return
 	}
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -3,13 +3,20 @@
 import (
 	"context"
 	"net/rpc"
-	"time"
+
+	"github.com/rotisserie/eris"
 
 	"hawthorncourse/internal/core/model"
 )
 
 const serviceName = "Mesh"
 
+// The errors of calls.
+var (
+	errUnknownPeer = eris.New("peer is not known")
+	errUnknownKind = eris.New("kind of object is not known")
+)
+
 // calls holds the methods that peers call.
 type calls struct {
 	m *Mesh
@@ -20,26 +27,9 @@
 	if err := srv.RegisterName(serviceName, &calls{m: m}); err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = m.cfg.Listener.Close() })
-	defer stop()
-	for {
-		conn, err := m.cfg.Listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			m.cfg.Counts.Counter("mesh.accept_failed").Inc(1)
-			time.Sleep(acceptPause)
-			continue
-		}
-		counted := m.links.count(conn)
-		context.AfterFunc(ctx, func() { _ = counted.Close() })
-		go srv.ServeConn(counted)
-	}
+	return m.links.Serve(ctx, m.cfg.Listener, srv)
 }
 
-const acceptPause = 10 * time.Millisecond
-
 // Ping answers a probe.
 func (c *calls) Ping(args PingArgs, reply *PingReply) error {
 	m := c.m
--- /dev/null
+++ b/internal/peer/share/share.go
@@ -0,0 +1,122 @@
+// Package share carries what one instance knows from the platform to the others of its failure domain.
+package share
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"hawthorncourse/internal/base/count"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/peer/links"
+)
+
+const (
+	serviceName = "Share"
+	nextMethod  = serviceName + ".Next"
+	// callMargin is the time that a call may take beyond its wait.
+	callMargin = 200 * time.Millisecond
+	// waitLimit bounds the time that a call waits here, whatever its caller asks.
+	waitLimit = 10 * time.Second
+)
+
+// ErrNothing means that the peer knows nothing yet.
+var ErrNothing = eris.New("peer knows nothing yet")
+
+// Share answers the calls of others and calls them.
+type Share struct {
+	listener net.Listener
+	links    *links.Links
+
+	mu sync.Mutex
+	// latest, confirmed, unsure and told are guarded by mu.
+	latest model.Knowledge
+	// confirmed is when the store confirmed latest.
+	confirmed time.Time
+	// unsure is until when a missing upstream proves nothing.
+	unsure time.Time
+	// told is closed and replaced at each confirmation.
+	told chan struct{}
+}
+
+// New returns a share that serves at the listener.
+func New(listener net.Listener, counts *count.Set) *Share {
+	return &Share{listener: listener, links: links.New("share", listener.Addr(), counts), told: make(chan struct{})}
+}
+
+// Run answers calls until ctx ends.
+func (s *Share) Run(ctx context.Context) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName(serviceName, &calls{share: s, ctx: ctx}); err != nil {
+		return err
+	}
+	defer s.links.Close()
+	return s.links.Serve(ctx, s.listener, srv)
+}
+
+// Publish tells those that wait what this instance knows as of now, less its age.
+func (s *Share) Publish(k model.Knowledge) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest, s.confirmed, s.unsure = k, now.Add(-k.Age), now.Add(k.Unsure)
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+// Next asks a peer for its next word; have is the revision that needs no repeating. Whole tells whether the parts came along.
+func (s *Share) Next(ctx context.Context, peer netip.AddrPort, have model.Revision, wait time.Duration) (k model.Knowledge, whole bool, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "ask %s", peer)
+		}
+	}()
+	var reply NextReply
+	args := NextArgs{Have: uint64(have), Wait: int64(wait)}
+	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+callMargin); err != nil {
+		return k, false, err
+	}
+	if reply.Revision == 0 {
+		return k, false, ErrNothing
+	}
+	k, err = fromWire(&reply)
+	return k, reply.Whole, err
+}
+
+// calls holds the methods that peers call.
+type calls struct {
+	share *Share
+	ctx   context.Context
+}
+
+// Next answers at the next confirmation by the store, or with what is known when the wait is over; without a wait, at once.
+func (c *calls) Next(args NextArgs, reply *NextReply) error {
+	s := c.share
+	s.mu.Lock()
+	told := s.told
+	s.mu.Unlock()
+	if args.Wait > 0 {
+		timer := time.NewTimer(min(time.Duration(args.Wait), waitLimit))
+		defer timer.Stop()
+		select {
+		case <-told:
+		case <-timer.C:
+		case <-c.ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latest.Revision == 0 {
+		return nil
+	}
+	now := time.Now()
+	k := s.latest
+	k.Age, k.Unsure = now.Sub(s.confirmed), max(s.unsure.Sub(now), 0)
+	*reply = toWire(&k, uint64(k.Revision) != args.Have)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/share/wire.go
@@ -0,0 +1,163 @@
+package share
+
+import (
+	"net/netip"
+	"time"
+
+	"hawthorncourse/internal/core/model"
+)
+
+// NextArgs asks for the next word of a peer.
+type NextArgs struct {
+	// Have is the revision that the caller knows.
+	Have uint64
+	// Wait is in nanoseconds.
+	Wait int64
+}
+
+// NextReply is what a peer knows; without Whole, only that Revision is still the newest.
+type NextReply struct {
+	Revision   uint64
+	Age        int64
+	Unsure     int64
+	Whole      bool
+	Upstreams  []Upstream
+	Unreadable []string
+	ListedAt   uint64
+	Routes     Routes
+	Out        []string
+}
+
+// Upstream is a registration as sent.
+type Upstream struct {
+	ID       string
+	Revision uint64
+	Number   uint64
+	Service  string
+	Domain   string
+	Address  string
+	Boot     uint64
+	Slots    int
+	ColdFor  int64
+	Draining bool
+}
+
+// Routes is a configuration as sent.
+type Routes struct {
+	Version  uint64
+	Revision uint64
+	FlowIdle int64
+	Routes   []Route
+	Services []Service
+}
+
+// Route is a route as sent.
+type Route struct {
+	Name    string
+	Address string
+	Kind    uint8
+	Timeout int64
+	Targets []Target
+}
+
+// Target is a target as sent.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Service is the limits of a service as sent.
+type Service struct {
+	ID          string
+	ColdRate    float64
+	Connections int
+}
+
+func toWire(k *model.Knowledge, whole bool) NextReply {
+	out := NextReply{Revision: uint64(k.Revision), Age: int64(k.Age), Unsure: int64(k.Unsure), Whole: whole}
+	if !whole {
+		return out
+	}
+	out.Unreadable, out.ListedAt = k.Upstreams.Unreadable, uint64(k.Upstreams.Revision)
+	for _, u := range k.Upstreams.Items {
+		out.Upstreams = append(out.Upstreams, Upstream{
+			ID:       string(u.ID),
+			Revision: uint64(u.Revision),
+			Number:   uint64(u.Number),
+			Service:  string(u.Service),
+			Domain:   string(u.Domain),
+			Address:  u.Address.String(),
+			Boot:     uint64(u.Boot),
+			Slots:    u.Slots,
+			ColdFor:  int64(u.ColdFor),
+			Draining: u.Draining,
+		})
+	}
+	out.Routes = routesToWire(&k.Routes)
+	for _, d := range k.Out {
+		out.Out = append(out.Out, string(d))
+	}
+	return out
+}
+
+func routesToWire(t *model.RouteTable) Routes {
+	out := Routes{Version: uint64(t.Version), Revision: uint64(t.Revision), FlowIdle: int64(t.FlowIdle)}
+	for _, r := range t.Routes {
+		w := Route{Name: r.Name, Address: r.Address.String(), Kind: uint8(r.Kind), Timeout: int64(r.Timeout)}
+		for _, target := range r.Targets {
+			w.Targets = append(w.Targets, Target{Service: string(target.Service), Weight: target.Weight})
+		}
+		out.Routes = append(out.Routes, w)
+	}
+	for _, s := range t.Services {
+		out.Services = append(out.Services, Service{ID: string(s.ID), ColdRate: s.ColdRate, Connections: s.Connections})
+	}
+	return out
+}
+
+func fromWire(w *NextReply) (k model.Knowledge, err error) {
+	k = model.Knowledge{Revision: model.Revision(w.Revision), Age: time.Duration(w.Age), Unsure: time.Duration(w.Unsure)}
+	k.Upstreams = model.Listing[model.Registration]{Unreadable: w.Unreadable, Revision: model.Revision(w.ListedAt)}
+	for _, u := range w.Upstreams {
+		address, err := netip.ParseAddrPort(u.Address)
+		if err != nil {
+			return k, err
+		}
+		k.Upstreams.Items = append(k.Upstreams.Items, model.Registration{
+			ID:       model.UpstreamID(u.ID),
+			Revision: model.Revision(u.Revision),
+			Number:   model.EndpointNumber(u.Number),
+			Service:  model.ServiceID(u.Service),
+			Domain:   model.DomainID(u.Domain),
+			Address:  address,
+			Boot:     model.BootID(u.Boot),
+			Slots:    u.Slots,
+			ColdFor:  time.Duration(u.ColdFor),
+			Draining: u.Draining,
+		})
+	}
+	for _, d := range w.Out {
+		k.Out = append(k.Out, model.DomainID(d))
+	}
+	k.Routes, err = routesFromWire(&w.Routes)
+	return k, err
+}
+
+func routesFromWire(w *Routes) (t model.RouteTable, err error) {
+	t = model.RouteTable{Version: model.Version(w.Version), Revision: model.Revision(w.Revision), FlowIdle: time.Duration(w.FlowIdle)}
+	for _, r := range w.Routes {
+		address, err := netip.ParseAddrPort(r.Address)
+		if err != nil {
+			return t, err
+		}
+		route := model.Route{Name: r.Name, Address: address, Kind: model.RouteKind(r.Kind), Timeout: time.Duration(r.Timeout)}
+		for _, target := range r.Targets {
+			route.Targets = append(route.Targets, model.Target{Service: model.ServiceID(target.Service), Weight: target.Weight})
+		}
+		t.Routes = append(t.Routes, route)
+	}
+	for _, s := range w.Services {
+		t.Services = append(t.Services, model.ServiceLimits{ID: model.ServiceID(s.ID), ColdRate: s.ColdRate, Connections: s.Connections})
+	}
+	return t, nil
+}
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
 )
 
 const (
@@ -15,41 +18,53 @@
 	nudgePause = 300 * time.Millisecond
 	// paceJitter spreads the reads of instances that started together.
 	paceJitter = 50 * time.Millisecond
+	// seedDelay is how long the store has to answer at the start before others are asked.
+	seedDelay = 250 * time.Millisecond
+	// seedPause is the time between two rounds of questions to seeds.
+	seedPause = 500 * time.Millisecond
 )
 
-// known holds the store's revision as of the last read of each kind.
-type known struct {
-	upstreams model.Revision
-	routes    model.Revision
-}
-
 // follow is the duty that keeps the engine's knowledge young.
 func (r *Relay) follow(ctx context.Context) error {
-	var have known
-	lost := false
+	k := fresh.NewKeeper(r.cfg.Instance, r.cfg.ChangeBy)
+	f := &follower{Relay: r, keeper: k, unsure: model.Instant(roster.LapseGrace)}
 	for ctx.Err() == nil {
-		start := time.Now()
-		err := r.refresh(ctx, &have)
+		step, wait := k.Next(r.now())
+		r.pause(ctx, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
-			r.counts.Counter("platform.read_failed").Inc(1)
-			r.do(ctx, func(now model.Instant) { r.engine.Roster().Distrust(now) })
-			if !lost {
-				r.part("platform").With("error", err).Warn("The platform's store does not answer; what is known stays in force.")
-			}
-		} else if lost {
-			r.part("platform").Info("The platform's store answers again.")
+		reading := k.Reading()
+		switch step {
+		case fresh.StepReader:
+			f.askReader(ctx)
+		case fresh.StepClaim:
+			f.claim(ctx)
+		default:
+			f.readStore(ctx)
+		}
+		if k.Reading() != reading {
+			r.part("platform").With("reading", k.Reading()).With("holder", k.Seat().Holder).Info("Who reads the platform's store for the failure domain has changed.")
 		}
-		lost = err != nil
-		r.pause(ctx, r.pace.Done(err == nil, time.Since(start)))
 	}
 	return nil
 }
 
-// pause waits until the next read is due or asked for.
+// follower is the state of the follow duty.
+type follower struct {
+	*Relay
+	keeper *fresh.Keeper
+	// unsure is until when a missing upstream proves nothing.
+	unsure model.Instant
+	// lost is set while the store does not answer here.
+	lost bool
+}
+
+// pause waits until the next step is due or asked for.
 func (r *Relay) pause(ctx context.Context, d time.Duration) {
+	if d == 0 {
+		return
+	}
 	early := min(d, nudgePause)
 	sleep(ctx, early)
 	t := time.NewTimer(max(d-early-rand.N(paceJitter), 0))
@@ -61,93 +76,219 @@
 	}
 }
 
-// refresh reads the smallest kind, whose answer tells the store's revision, and the other kinds if anything has changed since they were read.
-func (r *Relay) refresh(ctx context.Context, have *known) error {
-	ctx, cancel := context.WithTimeout(ctx, r.pace.Timeout())
+// readStore reads the seats, whose answer tells the store's revision, and all the rest if anything has changed.
+func (f *follower) readStore(ctx context.Context) {
+	start := f.now()
+	work, cancel := context.WithTimeout(ctx, f.keeper.StoreTimeout())
 	defer cancel()
-	if have.routes == 0 {
-		// Nothing is known yet: all kinds are read at once, to serve soon.
-		return r.readAll(ctx, have)
+	next, seats, err := f.readKnowledge(work)
+	now := f.now()
+	if ctx.Err() != nil {
+		return
 	}
-	out, err := r.cfg.DomainsOut.Read(ctx)
-	r.countCall(err)
+	f.noteStore(err)
 	if err != nil {
-		return err
+		f.unsure = now.Add(roster.LapseGrace)
+		f.do(ctx, func(model.Instant) { f.engine.Roster().Distrust(f.unsure) })
+		f.keeper.StoreRead(now, start, model.Seat{}, false)
+		return
 	}
-	r.do(ctx, func(now model.Instant) { r.engine.Roster().SetOut(now, out.Items) })
-	g, ctx := errgroup.WithContext(ctx)
-	if out.Revision != have.upstreams {
-		g.Go(func() error { return r.readUpstreams(ctx, have) })
+	next.Age, next.Unsure = now.Sub(start), max(f.unsure.Sub(now), 0)
+	f.learn(ctx, next)
+	f.keeper.StoreRead(now, start, f.ownSeat(seats), true)
+}
+
+// noteStore logs when the store is lost and when it is back.
+func (f *follower) noteStore(err error) {
+	log := f.part("platform")
+	switch {
+	case err != nil && !f.lost:
+		log.With("error", err).Warn("The platform's store does not answer; what is known stays in force.")
+	case err == nil && f.lost:
+		log.Info("The platform's store answers again.")
 	}
-	if out.Revision != have.routes {
-		g.Go(func() error { return r.readRoutes(ctx, have) })
+	f.lost = err != nil
+}
+
+// ownSeat returns the seat of the instance's failure domain.
+func (r *Relay) ownSeat(seats []model.Seat) model.Seat {
+	for _, s := range seats {
+		if s.Domain == r.cfg.Domain {
+			return s
+		}
+	}
+	return model.Seat{Domain: r.cfg.Domain}
+}
+
+// readKnowledge returns what the store holds now.
+func (r *Relay) readKnowledge(ctx context.Context) (k model.Knowledge, seats []model.Seat, err error) {
+	have := r.knowledge()
+	if have.Revision == 0 {
+		// Nothing is known yet: all kinds are read at once, to serve soon.
+		g, work := errgroup.WithContext(ctx)
+		var list model.Listing[model.Seat]
+		g.Go(func() (err error) {
+			list, err = counted(r, r.cfg.Seats.Read)(work)
+			return err
+		})
+		g.Go(func() (err error) {
+			k, err = r.readParts(work)
+			return err
+		})
+		err = g.Wait()
+		// The parts may be older than the seats: their own revision makes the next read repeat them if need be.
+		k.Revision = min(list.Revision, k.Upstreams.Revision)
+		return k, list.Items, err
+	}
+	list, err := counted(r, r.cfg.Seats.Read)(ctx)
+	if err != nil || list.Revision == have.Revision {
+		return have, list.Items, err
 	}
-	return g.Wait()
+	k, err = r.readParts(ctx)
+	k.Revision = list.Revision
+	return k, list.Items, err
 }
 
-func (r *Relay) readAll(ctx context.Context, have *known) error {
-	g, work := errgroup.WithContext(ctx)
-	g.Go(func() error { return r.readUpstreams(work, have) })
-	g.Go(func() error { return r.readRoutes(work, have) })
+// readParts reads upstreams, routes and failure domains at once.
+func (r *Relay) readParts(ctx context.Context) (k model.Knowledge, err error) {
+	k.Routes = r.knowledge().Routes
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() (err error) {
+		k.Upstreams, err = counted(r, r.cfg.Upstreams.Read)(ctx)
+		r.counts.Counter("platform.unreadable_upstreams").Inc(int64(len(k.Upstreams.Unreadable)))
+		return err
+	})
 	g.Go(func() error {
-		out, err := r.cfg.DomainsOut.Read(work)
-		r.countCall(err)
-		if err == nil {
-			r.do(work, func(now model.Instant) { r.engine.Roster().SetOut(now, out.Items) })
+		list, err := counted(r, r.cfg.Routes.Read)(ctx)
+		if len(list.Items) > 0 {
+			k.Routes = list.Items[0]
+		}
+		if len(list.Unreadable) > 0 {
+			r.counts.Counter("platform.unreadable_routes").Inc(1)
+			r.part("platform").With("names", list.Unreadable).Error("A configuration cannot be read, the last good one stays in force.")
 		}
 		return err
 	})
-	if err := g.Wait(); err != nil {
-		*have = known{}
+	g.Go(func() error {
+		list, err := counted(r, r.cfg.DomainsOut.Read)(ctx)
+		k.Out = list.Items
 		return err
-	}
-	r.do(ctx, func(model.Instant) {
-		r.engine.SetReady()
-		r.serving.Store(true)
-		r.part("relay").With("upstreams", r.engine.Roster().Len()).Info("Instance is ready.")
 	})
-	return nil
+	return k, g.Wait()
 }
 
-func (r *Relay) readUpstreams(ctx context.Context, have *known) error {
-	list, err := r.cfg.Upstreams.Read(ctx)
-	r.countCall(err)
-	if err != nil {
-		return err
+// counted counts the outcomes of a read.
+func counted[T any](r *Relay, read func(context.Context) (model.Listing[T], error)) func(context.Context) (model.Listing[T], error) {
+	return func(ctx context.Context) (model.Listing[T], error) {
+		list, err := read(ctx)
+		if err != nil {
+			r.counts.Counter("platform.calls.failed").Inc(1)
+		} else {
+			r.counts.Counter("platform.calls.done").Inc(1)
+		}
+		return list, err
+	}
+}
+
+// askReader waits for the next word of the instance that reads for the failure domain.
+func (f *follower) askReader(ctx context.Context) {
+	seat := f.keeper.Seat()
+	k, err := f.ask(ctx, seat.Control, f.keeper.ReaderWait())
+	if ctx.Err() != nil {
+		return
 	}
-	have.upstreams = list.Revision
-	if n := len(list.Unreadable); n > 0 {
-		r.counts.Counter("platform.unreadable_upstreams").Inc(int64(n))
+	if err != nil {
+		f.counts.Counter("platform.reader_failed").Inc(1)
+		f.part("platform").With("holder", seat.Holder).With("error", err).Warn("The instance that reads for the failure domain does not answer.")
 	}
-	r.do(ctx, func(now model.Instant) { r.engine.Roster().Sync(now, list) })
-	return nil
+	f.unsure = max(f.unsure, f.now().Add(k.Unsure))
+	f.keeper.ReaderTold(f.now(), k.Age, err == nil)
 }
 
-func (r *Relay) readRoutes(ctx context.Context, have *known) error {
-	list, err := r.cfg.Routes.Read(ctx)
-	r.countCall(err)
+// ask takes over what another instance knows if it is newer.
+func (r *Relay) ask(ctx context.Context, peer netip.AddrPort, wait time.Duration) (model.Knowledge, error) {
+	have := r.knowledge()
+	k, whole, err := r.share.Next(ctx, peer, have.Revision, wait)
 	if err != nil {
-		return err
+		return k, err
 	}
-	have.routes = list.Revision
-	if len(list.Unreadable) > 0 {
-		r.counts.Counter("platform.unreadable_routes").Inc(1)
-		r.part("platform").With("names", list.Unreadable).Error("A configuration cannot be read, the last good one stays in force.")
+	if !whole {
+		have.Age, have.Unsure = k.Age, k.Unsure
+		k = have
 	}
-	for _, table := range list.Items {
-		r.do(ctx, func(model.Instant) {
-			if r.engine.SetRoutes(table) {
-				r.part("platform").With("version", table.Version).With("revision", table.Revision).With("routes", len(table.Routes)).Info("A configuration is in force.")
+	r.learn(ctx, k)
+	return k, nil
+}
+
+// claim tries to become the instance that reads for the failure domain.
+func (f *follower) claim(ctx context.Context) {
+	seat := f.keeper.Seat()
+	seat.Domain, seat.Holder, seat.Control = f.cfg.Domain, f.cfg.Instance, f.cfg.Control
+	work, cancel := context.WithTimeout(ctx, f.keeper.StoreTimeout())
+	defer cancel()
+	now, err := f.cfg.Seats.Claim(work, seat)
+	if err != nil {
+		f.counts.Counter("platform.claim_failed").Inc(1)
+		f.part("platform").With("error", err).Warn("The seat of the failure domain's reader was not taken.")
+	} else {
+		f.counts.Counter("platform.claims").Inc(1)
+	}
+	f.keeper.Claimed(f.now(), now, err == nil)
+}
+
+// askSeeds is the duty that asks other instances at the start if the store does not answer.
+func (r *Relay) askSeeds(ctx context.Context) error {
+	sleep(ctx, seedDelay)
+	for ctx.Err() == nil && r.knowledge().Revision == 0 {
+		for _, seed := range r.cfg.Seeds {
+			if seed == r.cfg.Control || r.knowledge().Revision != 0 {
+				continue
 			}
-		})
+			if _, err := r.ask(ctx, seed, 0); err != nil {
+				r.counts.Counter("platform.seed_failed").Inc(1)
+			}
+		}
+		sleep(ctx, seedPause)
 	}
 	return nil
 }
 
-func (r *Relay) countCall(err error) {
-	if err != nil {
-		r.counts.Counter("platform.calls.failed").Inc(1)
+func (r *Relay) knowledge() model.Knowledge {
+	r.knownMu.Lock()
+	defer r.knownMu.Unlock()
+	return r.known
+}
+
+// learn puts knowledge in force unless newer is, and tells those that ask here.
+func (r *Relay) learn(ctx context.Context, k model.Knowledge) {
+	r.knownMu.Lock()
+	defer r.knownMu.Unlock()
+	if k.Revision < r.known.Revision {
 		return
 	}
-	r.counts.Counter("platform.calls.done").Inc(1)
+	newer := k.Revision > r.known.Revision
+	first := r.known.Revision == 0
+	r.known = k
+	r.share.Publish(k)
+	r.do(ctx, func(now model.Instant) {
+		r.engine.Roster().Distrust(now.Add(k.Unsure))
+		if newer {
+			r.install(now, &k)
+		}
+		if first {
+			r.engine.SetReady()
+			r.serving.Store(true)
+			r.part("relay").With("upstreams", r.engine.Roster().Len()).With("revision", k.Revision).Info("Instance is ready.")
+		}
+	})
+}
+
+// install is called by the decide duty.
+func (r *Relay) install(now model.Instant, k *model.Knowledge) {
+	r.engine.Roster().SetOut(now, k.Out)
+	r.engine.Roster().Sync(now, k.Upstreams)
+	if r.engine.SetRoutes(k.Routes) {
+		r.part("platform").With("version", k.Routes.Version).With("revision", k.Routes.Revision).With("routes", len(k.Routes.Routes)).
+			With("age", k.Age).Info("A configuration is in force.")
+	}
 }
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,8 +17,8 @@
 	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/base/ring"
 	"hawthorncourse/internal/core/direct"
-	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/peer/share"
 )
 
 const (
@@ -33,6 +34,13 @@
 	Read(ctx context.Context) (model.Listing[T], error)
 }
 
+// Seats keeps who reads the platform's store for each failure domain.
+type Seats interface {
+	Source[model.Seat]
+	// Claim takes a seat that is still at its revision; it returns the seat as it is now, whoever holds it.
+	Claim(ctx context.Context, seat model.Seat) (model.Seat, error)
+}
+
 // Codec translates between datagrams and segments.
 type Codec interface {
 	// Parse reads a caller's datagram; the segment refers to raw.
@@ -55,6 +63,12 @@
 	Ready netip.AddrPort
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// Control receives calls from other instances.
+	Control netip.AddrPort
+	// Seeds holds control addresses of instances that may know more at the start; they may be stale.
+	Seeds []netip.AddrPort
+	// Seats keeps who reads the store for each failure domain.
+	Seats Seats
 	// Metrics serves counters; it may be invalid for none.
 	Metrics netip.AddrPort
 	// Codec translates packets.
@@ -88,10 +102,14 @@
 	start  time.Time
 
 	engine *direct.Engine
-	pace   fresh.Pace
+	share  *share.Share
+	// known is what the platform last told, guarded by knownMu.
+	knownMu sync.Mutex
+	known   model.Knowledge
 
 	packets *net.UDPConn
 	ready   net.Listener
+	control net.Listener
 	metrics net.Listener
 
 	arrived  *ring.Ring[model.Segment]
@@ -127,7 +145,6 @@
 		log:      log,
 		counts:   count.New(),
 		start:    start,
-		pace:     fresh.Pace{Bound: cfg.ChangeBy},
 		arrived:  ring.New[model.Segment](packetRing),
 		commands: ring.New[command](commandRing),
 		nudge:    make(chan struct{}, 1),
@@ -145,6 +162,7 @@
 		r.closeSockets()
 		return nil, err
 	}
+	r.share = share.New(r.control, r.counts)
 	return r, nil
 }
 
@@ -158,6 +176,9 @@
 	if r.ready, err = net.Listen("tcp", r.cfg.Ready.String()); err != nil {
 		return err
 	}
+	if r.control, err = net.Listen("tcp", r.cfg.Control.String()); err != nil {
+		return err
+	}
 	if r.cfg.Metrics.IsValid() {
 		r.metrics, err = net.Listen("tcp", r.cfg.Metrics.String())
 	}
@@ -168,7 +189,7 @@
 	if r.packets != nil {
 		_ = r.packets.Close()
 	}
-	for _, l := range []net.Listener{r.ready, r.metrics} {
+	for _, l := range []net.Listener{r.ready, r.control, r.metrics} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -186,7 +207,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, work := errgroup.WithContext(work)
-	for _, duty := range []func(context.Context) error{r.read, r.decide, r.follow, r.serveReady, r.serveMetrics, r.reload} {
+	for _, duty := range []func(context.Context) error{r.read, r.decide, r.follow, r.askSeeds, r.share.Run, r.serveReady, r.serveMetrics, r.reload} {
 		g.Go(func() error { return duty(work) })
 	}
 	g.Go(func() error {
