Trial, reverted: end open flows of a failure domain that is taken out

Ruled out: a reset (FLOW counts it always). Conclusion: reverted. Open flows go on, new ones stay away; the question stands in docs/PLATFORM.md.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -29,8 +29,6 @@
 	Seed uint64
 	// FlowLife is the longest life of a flow.
 	FlowLife time.Duration
-	// EvacuateBy is how long packets may still go to a failure domain that is taken out.
-	EvacuateBy time.Duration
 	// ColdFactor multiplies the rate that a cold upstream bears.
 	ColdFactor float64
 	// ColdSlack is the number of flows a second that a cold upstream may get beyond its rate.
--- a/internal/oper/shell/relay.go
+++ b/internal/oper/shell/relay.go
@@ -65,7 +65,6 @@
 		Routes:     platform.Routes(client),
 		DomainsOut: platform.DomainsOut(client),
 		ChangeBy:   min(s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Evacuate),
-		EvacuateBy: s.Bounds.Evacuate,
 		StopWithin: s.Bounds.Stop,
 		FlowLife:   s.Bounds.FlowLife,
 		ColdFactor: s.Bounds.ColdFactor,
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -79,8 +79,6 @@
 	DomainsOut Source[model.DomainID]
 	// ChangeBy is the time in which any change must be in force.
 	ChangeBy time.Duration
-	// EvacuateBy is how long packets may still go to a failure domain that is taken out.
-	EvacuateBy time.Duration
 	// StopWithin is the time in which a planned stop must end.
 	StopWithin time.Duration
 	// FlowLife is the longest life of a flow.
@@ -154,7 +152,6 @@
 		Domain:     cfg.Domain,
 		Seed:       uint64(start.UnixNano()),
 		FlowLife:   cfg.FlowLife,
-		EvacuateBy: cfg.EvacuateBy,
 		ColdFactor: cfg.ColdFactor,
 		ColdSlack:  cfg.ColdSlack,
 	})
