--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -84,7 +84,7 @@
 	if !was && u.Health.Barred() {
 		e.note(Note{Kind: NoteBarred, Upstream: u})
 	}
-	if outcome == health.OutcomeSilent && u.Health.Barred() && e.domain(u.Domain).Failed(now, u.ID) {
+	if outcome == health.OutcomeFailed && u.Health.Barred() && e.domain(u.Domain).Failed(now, u.ID) {
 		e.domainCut(now, u.Domain)
 	}
 }
--- /dev/null
+++ b/internal/core/fresh/keeper_test.go
@@ -0,0 +1,190 @@
+package fresh_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hawthorncourse/internal/core/fresh"
+	"hawthorncourse/internal/core/model"
+)
+
+const bound = 3 * time.Second
+
+var (
+	mine   = model.Seat{Domain: "east", Holder: "a", Control: netip.MustParseAddrPort("127.0.0.1:1"), Revision: 4}
+	theirs = model.Seat{Domain: "east", Holder: "b", Control: netip.MustParseAddrPort("127.0.0.1:2"), Revision: 5}
+	empty  = model.Seat{Domain: "east"}
+)
+
+// TestStep checks from whom an instance learns next after what has happened.
+func TestStep(t *testing.T) {
+	cases := map[string]struct {
+		play func(*fresh.Keeper)
+		want fresh.Step
+		wait time.Duration
+	}{
+		"at the start": {play: func(*fresh.Keeper) {}, want: fresh.StepStore},
+		"the store does not answer at the start": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, model.Seat{}, false) },
+			want: fresh.StepStore, wait: 200 * time.Millisecond,
+		},
+		"nobody reads for the domain": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, empty, true) },
+			want: fresh.StepClaim,
+		},
+		"this instance reads for the domain": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, mine, true) },
+			want: fresh.StepStore, wait: time.Second,
+		},
+		"another one reads for the domain": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, theirs, true); k.ReaderTold(0, 0, true) },
+			want: fresh.StepReader,
+		},
+		"the reader does not answer": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, theirs, true); k.ReaderTold(0, 0, false) },
+			want: fresh.StepStore,
+		},
+		"the reader has lost the store": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, theirs, true); k.ReaderTold(0, 2100*time.Millisecond, true) },
+			want: fresh.StepStore,
+		},
+		"the reader is silent and still holds its seat": {
+			play: func(k *fresh.Keeper) {
+				k.StoreRead(0, 0, theirs, true)
+				k.ReaderTold(0, 0, false)
+				k.StoreRead(0, 0, theirs, true)
+			},
+			want: fresh.StepClaim,
+		},
+		"the reader is silent and another took its seat": {
+			play: func(k *fresh.Keeper) {
+				next := theirs
+				next.Holder, next.Revision = "c", 6
+				k.StoreRead(0, 0, theirs, true)
+				k.ReaderTold(0, 0, false)
+				k.StoreRead(0, 0, next, true)
+				k.ReaderTold(0, 0, true)
+			},
+			want: fresh.StepReader,
+		},
+		"another was faster to claim": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, empty, true); k.Claimed(0, theirs, true) },
+			want: fresh.StepReader,
+		},
+		"a claim was not answered": {
+			play: func(k *fresh.Keeper) { k.StoreRead(0, 0, empty, true); k.Claimed(0, model.Seat{}, false) },
+			want: fresh.StepStore, wait: 200 * time.Millisecond,
+		},
+		"this instance lost its seat": {
+			play: func(k *fresh.Keeper) {
+				k.StoreRead(0, 0, mine, true)
+				k.StoreRead(0, 0, theirs, true)
+				k.ReaderTold(0, 0, true)
+			},
+			want: fresh.StepReader,
+		},
+		"beyond a cut, without store and with an outdated reader": {
+			play: func(k *fresh.Keeper) {
+				k.StoreRead(0, 0, theirs, true)
+				k.ReaderTold(0, 3*time.Second, true)
+				k.StoreRead(0, 0, model.Seat{}, false)
+			},
+			want: fresh.StepStore, wait: 200 * time.Millisecond,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := fresh.NewKeeper("a", bound)
+			tc.play(k)
+			step, wait := k.Next(0)
+			is.Equal(step, tc.want)
+			is.Equal(wait, tc.wait)
+		})
+	}
+}
+
+// TestAge plays a domain of five instances whose reader dies or loses the store, and checks how old knowledge becomes.
+func TestAge(t *testing.T) {
+	cases := map[string]struct {
+		reader, store func(now model.Instant) bool
+	}{
+		"calm":                    {reader: always, store: always},
+		"the reader dies":         {reader: before(5 * time.Second), store: always},
+		"the reader is cut off":   {reader: always, store: always},
+		"the reader stands still": {reader: between(5*time.Second, 9*time.Second), store: always},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const tick = 10 * time.Millisecond
+			k := fresh.NewKeeper("a", bound)
+			confirmed, told := model.Instant(0), model.Instant(0)
+			worst := time.Duration(0)
+			seat := theirs
+			due := model.Instant(0)
+			for now := model.Instant(0); now < model.Instant(20*time.Second); now = now.Add(tick) {
+				if tc.reader(now) && now%model.Instant(time.Second) == 0 {
+					told = now
+				}
+				if confirmed > 0 {
+					worst = max(worst, now.Sub(confirmed))
+				}
+				if now < due {
+					continue
+				}
+				step, wait := k.Next(now)
+				if wait > 0 {
+					due = now.Add(wait)
+					continue
+				}
+				switch step {
+				case fresh.StepStore:
+					k.StoreRead(now, now, seat, tc.store(now))
+					confirmed = now
+				case fresh.StepReader:
+					if told > confirmed {
+						confirmed = told
+						k.ReaderTold(now, now.Sub(told), true)
+					} else if now.Sub(confirmed) > k.ReaderWait() {
+						k.ReaderTold(now, 0, false)
+					}
+				case fresh.StepClaim:
+					seat = mine
+					seat.Revision = 9
+					k.Claimed(now, seat, true)
+				}
+			}
+			is.True(worst <= bound*2/3)
+		})
+	}
+}
+
+func always(model.Instant) bool { return true }
+
+func before(d time.Duration) func(model.Instant) bool {
+	return func(now model.Instant) bool { return now < model.Instant(d) }
+}
+
+func between(from, to time.Duration) func(model.Instant) bool {
+	return func(now model.Instant) bool { return now < model.Instant(from) || now > model.Instant(to) }
+}
+
+// TestPace checks the rhythm of reads and the patience with a store that is slow.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	p := fresh.Pace{Bound: bound}
+	is.Equal(p.Done(true, 100*time.Millisecond), 900*time.Millisecond)
+	is.Equal(p.Done(true, 2*time.Second), time.Duration(0))
+	var patience []time.Duration
+	for range 4 {
+		patience = append(patience, p.Timeout())
+		is.Equal(p.Done(false, time.Second), 200*time.Millisecond)
+	}
+	is.Equal(patience, []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond, 2400 * time.Millisecond, 2400 * time.Millisecond})
+	p.Done(true, 0)
+	is.Equal(p.Timeout(), 600*time.Millisecond)
+}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -32,8 +32,8 @@
 const (
 	// OutcomeAnswered means that the upstream's machine can be reached.
 	OutcomeAnswered Outcome = iota + 1
-	// OutcomeSilent means that there was no answer in time.
-	OutcomeSilent
+	// OutcomeFailed means that there was no answer in time or that the connection was refused; a cut may do either.
+	OutcomeFailed
 	// OutcomeUnknown means that this instance stood still meanwhile, so that the silence may be its own.
 	OutcomeUnknown
 )
@@ -96,7 +96,7 @@
 	switch outcome {
 	case OutcomeAnswered:
 		t.misses, t.failed = 0, 0
-	case OutcomeSilent:
+	case OutcomeFailed:
 		if t.misses > 0 || t.failed > 0 {
 			t.failed++
 		}
--- /dev/null
+++ b/internal/core/roster/roster_test.go
@@ -0,0 +1,152 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+)
+
+const (
+	settled = model.Instant(10 * time.Second)
+	soon    = model.Instant(100 * time.Millisecond)
+)
+
+func entry(id string, boot model.BootID, rev model.Revision) model.Registration {
+	return model.Registration{ID: model.UpstreamID(id), Boot: boot, Revision: rev, Number: 7, Service: "orders", Domain: "east", Slots: 2}
+}
+
+func listing(items ...model.Registration) model.Listing[model.Registration] {
+	return model.Listing[model.Registration]{Items: items}
+}
+
+// TestEnds checks when an upstream whose entry is missing has ended for certain.
+func TestEnds(t *testing.T) {
+	cases := map[string]struct {
+		play func(*roster.Roster)
+		want roster.State
+	}{
+		"its entry is missing": {
+			play: func(r *roster.Roster) { r.Sync(settled, listing()) },
+			want: roster.StateGone,
+		},
+		"its entry is missing soon after the start of this instance": {
+			play: func(r *roster.Roster) { r.Sync(soon, listing()) },
+			want: roster.StateMissing,
+		},
+		"its entry is missing soon after the store was away": {
+			play: func(r *roster.Roster) { r.Distrust(settled.Add(time.Second)); r.Sync(settled, listing()) },
+			want: roster.StateMissing,
+		},
+		"its entry does not come back after the store was away": {
+			play: func(r *roster.Roster) {
+				r.Distrust(settled.Add(roster.LapseGrace))
+				r.Sync(settled, listing())
+				r.Tick(settled.Add(roster.LapseGrace))
+			},
+			want: roster.StateGone,
+		},
+		"its entry comes back after the store was away": {
+			play: func(r *roster.Roster) {
+				r.Distrust(settled.Add(roster.LapseGrace))
+				r.Sync(settled, listing())
+				r.Sync(settled.Add(2*time.Second), listing(entry("a", 1, 2)))
+				r.Tick(settled.Add(time.Minute))
+			},
+			want: roster.StateListed,
+		},
+		"another start took its name": {
+			play: func(r *roster.Roster) { r.Sync(settled, listing(entry("a", 2, 5))) },
+			want: roster.StateGone,
+		},
+		"its entry turned into bytes that nobody understands": {
+			play: func(r *roster.Roster) {
+				r.Sync(settled, model.Listing[model.Registration]{Unreadable: []string{"a"}})
+			},
+			want: roster.StateUnreadable,
+		},
+		"another start took its name, then an older listing arrives": {
+			play: func(r *roster.Roster) {
+				r.Sync(settled, listing(entry("a", 0, 0)))
+				r.Sync(settled, listing(entry("a", 1, 1)))
+			},
+			want: roster.StateGone,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{Remember: time.Minute})
+			r.Sync(0, listing(entry("a", 1, 1)))
+			up := r.Of("orders")[0]
+			tc.play(r)
+			is.Equal(up.State, tc.want)
+			is.Equal(r.Find("orders", up.Tag) != nil, true)
+		})
+	}
+}
+
+// TestUsable checks which upstreams may get new flows.
+func TestUsable(t *testing.T) {
+	cases := map[string]struct {
+		change func(*roster.Roster, *model.Registration)
+		want   bool
+	}{
+		"a listed one":                      {change: func(*roster.Roster, *model.Registration) {}, want: true},
+		"one that drains":                   {change: func(_ *roster.Roster, e *model.Registration) { e.Draining = true }},
+		"one in a failure domain taken out": {change: func(r *roster.Roster, _ *model.Registration) { r.SetOut(settled, []model.DomainID{"east"}) }},
+		"one in a failure domain taken back": {
+			change: func(r *roster.Roster, _ *model.Registration) {
+				r.SetOut(settled, []model.DomainID{"east"})
+				r.SetOut(settled, nil)
+			},
+			want: true,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{Remember: time.Minute})
+			e := entry("a", 1, 1)
+			tc.change(r, &e)
+			r.Sync(settled, listing(e))
+			is.Equal(r.Usable(r.Of("orders")[0]), tc.want)
+		})
+	}
+}
+
+// TestTags checks that two starts, and two services, never share a tag by construction, and that a tag is forgotten.
+func TestTags(t *testing.T) {
+	is := is.New(t)
+	r := roster.New(roster.Config{Remember: time.Minute})
+	r.Sync(0, listing(entry("a", 1, 1)))
+	first := r.Of("orders")[0]
+	r.Sync(settled, listing(entry("a", 2, 5)))
+	second := r.Of("orders")[0]
+	is.True(first.Tag != second.Tag)
+	is.Equal(r.Find("orders", first.Tag), first)
+	is.Equal(r.Find("orders", second.Tag), second)
+	is.Equal(r.Find("claims", second.Tag), (*roster.Upstream)(nil))
+	r.Tick(settled.Add(time.Minute))
+	is.Equal(r.Find("orders", first.Tag), (*roster.Upstream)(nil))
+	is.Equal(r.Find("orders", second.Tag), second)
+}
+
+// TestCold checks that only a new write makes an upstream cold again.
+func TestCold(t *testing.T) {
+	is := is.New(t)
+	r := roster.New(roster.Config{Remember: time.Minute})
+	e := entry("a", 1, 1)
+	e.ColdFor = 2 * time.Second
+	r.Sync(0, listing(e))
+	up := r.Of("orders")[0]
+	r.Sync(model.Instant(time.Second), listing(e))
+	is.True(up.Cold(model.Instant(1900 * time.Millisecond)))
+	is.True(!up.Cold(model.Instant(2 * time.Second)))
+	e.Revision = 9
+	r.Sync(settled, listing(e))
+	is.True(up.Cold(settled.Add(1900 * time.Millisecond)))
+}
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -31,11 +31,11 @@
 		case conn != nil:
 			_ = conn.Close()
 		case errors.Is(err, syscall.ECONNREFUSED):
-			// The machine answers; what it says of its process is for the registry to confirm.
+			outcome = health.OutcomeFailed
 		case model.Instant(r.stalled.Load()) >= start || r.now().Sub(start) > probeTimeout+stallLimit:
 			outcome = health.OutcomeUnknown
 		default:
-			outcome = health.OutcomeSilent
+			outcome = health.OutcomeFailed
 		}
 		r.do(ctx, func(now model.Instant) { r.engine.Probed(now, u, outcome) })
 	}()
