--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -35,6 +35,20 @@
 	ColdSlack float64
 	// Policy picks the upstream of a new flow; nil for the default policy.
 	Policy choose.Policy[place.Candidate[*roster.Upstream]]
+	// Without replaces decisions by their simpler alternative, for comparison.
+	Without Without
+}
+
+// Without names decisions that are left out.
+type Without struct {
+	// Resend leaves opening packets to the caller's own copies.
+	Resend bool
+	// Probes leaves upstreams without an answer in use.
+	Probes bool
+	// Resets leaves callers of unreachable upstreams to their deadline.
+	Resets bool
+	// Isolation keeps an instance ready that reaches no upstream.
+	Isolation bool
 }
 
 // Action is one decision to carry out.
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -115,7 +115,7 @@
 
 func (e *Engine) resend(now model.Instant, key model.FlowKey, f *flow) {
 	r := e.routes[key.Service]
-	if r == nil || len(f.tried) >= triesLimit {
+	if r == nil || len(f.tried) >= triesLimit || e.cfg.Without.Resend {
 		return
 	}
 	if !e.budget.Spend() {
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -39,7 +39,7 @@
 		e.ended(seg, f, model.ReasonUpstreamGone)
 		return
 	}
-	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable() {
+	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable() && !e.cfg.Without.Resets {
 		// The caller may repeat its request, and a new flow finds an upstream that can be reached.
 		e.ended(seg, f, model.ReasonUpstreamUnreachable)
 		return
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -16,6 +16,9 @@
 
 // Isolated reports whether there are upstreams but none that this instance can reach: callers are better off elsewhere.
 func (e *Engine) Isolated() bool {
+	if e.cfg.Without.Isolation {
+		return false
+	}
 	some := false
 	for _, u := range e.roster.All() {
 		if !e.roster.Usable(u) {
@@ -31,6 +34,9 @@
 
 // miss counts an unanswered packet against an upstream and lets a probe tell a lost packet from a lost upstream.
 func (e *Engine) miss(now model.Instant, u *roster.Upstream, sent model.Instant) {
+	if e.cfg.Without.Probes {
+		return
+	}
 	was := u.Health.Barred()
 	u.Health.Miss(sent)
 	if !was && u.Health.Barred() {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -41,6 +41,16 @@
 			play: func(r *roster.Roster) { r.Distrust(settled.Add(time.Second)); r.Sync(settled, listing()) },
 			want: roster.StateMissing,
 		},
+		"it said that it would leave, and its entry is missing soon after the store was away": {
+			play: func(r *roster.Roster) {
+				leaving := entry("a", 1, 2)
+				leaving.Draining = true
+				r.Sync(settled, listing(leaving))
+				r.Distrust(settled.Add(time.Second))
+				r.Sync(settled, listing())
+			},
+			want: roster.StateMissing,
+		},
 		"its entry does not come back after the store was away": {
 			play: func(r *roster.Roster) {
 				r.Distrust(settled.Add(roster.LapseGrace))
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -10,7 +10,6 @@
 
 	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
-	"hawthorncourse/internal/core/roster"
 )
 
 const (
@@ -27,7 +26,7 @@
 // follow is the duty that keeps the engine's knowledge young.
 func (r *Relay) follow(ctx context.Context) error {
 	k := fresh.NewKeeper(r.cfg.Instance, r.cfg.ChangeBy)
-	f := &follower{Relay: r, keeper: k, unsure: model.Instant(roster.LapseGrace)}
+	f := &follower{Relay: r, keeper: k}
 	for ctx.Err() == nil {
 		step, wait := k.Next(r.now())
 		r.pause(ctx, wait)
@@ -54,8 +53,6 @@
 type follower struct {
 	*Relay
 	keeper *fresh.Keeper
-	// unsure is until when a missing upstream proves nothing.
-	unsure model.Instant
 	// lost is set while the store does not answer here.
 	lost bool
 }
@@ -88,12 +85,10 @@
 	}
 	f.noteStore(err)
 	if err != nil {
-		f.unsure = now.Add(roster.LapseGrace)
-		f.do(ctx, func(model.Instant) { f.engine.Roster().Distrust(f.unsure) })
 		f.keeper.StoreRead(now, start, model.Seat{}, false)
 		return
 	}
-	next.Age, next.Unsure = now.Sub(start), max(f.unsure.Sub(now), 0)
+	next.Age, next.Unsure = now.Sub(start), 0
 	f.learn(ctx, next)
 	f.keeper.StoreRead(now, start, f.ownSeat(seats), true)
 }
@@ -201,7 +196,6 @@
 		f.counts.Counter("platform.reader_failed").Inc(1)
 		f.part("platform").With("holder", seat.Holder).With("error", err).Warn("The instance that reads for the failure domain does not answer.")
 	}
-	f.unsure = max(f.unsure, f.now().Add(k.Unsure))
 	f.keeper.ReaderTold(f.now(), k.Age, err == nil)
 }
 
@@ -266,6 +260,8 @@
 	if k.Revision < r.known.Revision {
 		return
 	}
+	arrived := r.now()
+	k.Unsure = r.trust.Confirm(arrived, arrived.Add(-k.Age), k.Unsure)
 	newer := k.Revision > r.known.Revision
 	first := r.known.Revision == 0
 	r.known = k
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -17,7 +17,9 @@
 	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/base/ring"
 	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
 	"hawthorncourse/internal/peer/share"
 )
 
@@ -101,9 +103,10 @@
 
 	engine *direct.Engine
 	share  *share.Share
-	// known is what the platform last told, guarded by knownMu.
+	// known is what the platform last told and trust what that proves; both are guarded by knownMu.
 	knownMu sync.Mutex
 	known   model.Knowledge
+	trust   *fresh.Trust
 
 	packets *net.UDPConn
 	ready   net.Listener
@@ -143,6 +146,7 @@
 		log:      log,
 		counts:   count.New(),
 		start:    start,
+		trust:    fresh.NewTrust(cfg.ChangeBy, roster.LapseGrace),
 		arrived:  ring.New[model.Segment](packetRing),
 		commands: ring.New[command](commandRing),
 		nudge:    make(chan struct{}, 1),
