Log each decision with its inputs, and serve latency histograms

Change: one JSON line for each placement, resend, reset and drop with flow, upstream, revision and age of what is known, within 20 lines a second and kind; the rest is summed up. A duty of its own writes them; a blocked reader costs lines, never packets. Metrics as text with counters, gauges and two latency histograms.

--- a/internal/base/count/count.go
+++ b/internal/base/count/count.go
@@ -25,7 +25,7 @@
 
 // New returns an empty set.
 func New() *Set {
-	t := &totals{values: map[string]int64{}}
+	t := &totals{values: map[string]int64{}, gauges: map[string]float64{}, latencies: map[string]map[time.Duration]int64{}}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: t, OmitCardinalityMetrics: true}, reportInterval)
 	return &Set{scope: scope, closer: closer, totals: t, counters: map[string]tally.Counter{}}
 }
@@ -47,6 +47,19 @@
 	return c
 }
 
+// Gauge returns the gauge of the name.
+func (s *Set) Gauge(name string) tally.Gauge {
+	return s.scope.Gauge(name)
+}
+
+// latencyBuckets reach from a round trip within a failure domain to the longest deadline of a caller.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// Latency returns the histogram of the name for times of requests.
+func (s *Set) Latency(name string) tally.Histogram {
+	return s.scope.Histogram(name, latencyBuckets)
+}
+
 // Total is one counter with its value since the start.
 type Total struct {
 	Name  string
@@ -62,6 +75,9 @@
 type totals struct {
 	mu     sync.Mutex
 	values map[string]int64
+	gauges map[string]float64
+	// latencies holds the samples of each histogram by the upper bound of their bucket.
+	latencies map[string]map[time.Duration]int64
 }
 
 func (t *totals) list() []Total {
@@ -81,18 +97,28 @@
 	t.values[name] += value
 }
 
-// ReportGauge implements tally.StatsReporter; gauges are not used.
-func (t *totals) ReportGauge(string, map[string]string, float64) {}
+// ReportGauge implements tally.StatsReporter.
+func (t *totals) ReportGauge(name string, _ map[string]string, value float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gauges[name] = value
+}
 
 // ReportTimer implements tally.StatsReporter; timers are not used.
 func (t *totals) ReportTimer(string, map[string]string, time.Duration) {}
 
-// ReportHistogramValueSamples implements tally.StatsReporter; histograms are not used.
+// ReportHistogramValueSamples implements tally.StatsReporter; histograms of plain values are not used.
 func (t *totals) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
 }
 
-// ReportHistogramDurationSamples implements tally.StatsReporter; histograms are not used.
-func (t *totals) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
+// ReportHistogramDurationSamples implements tally.StatsReporter.
+func (t *totals) ReportHistogramDurationSamples(name string, _ map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latencies[name] == nil {
+		t.latencies[name] = map[time.Duration]int64{}
+	}
+	t.latencies[name][upper] += samples
 }
 
 // Capabilities implements tally.StatsReporter.
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -16,6 +17,13 @@
 	return log
 }
 
+// NewJSON returns a log that writes one JSON object a message to w.
+func NewJSON(w io.Writer, level logrus.Level) *logrus.Logger {
+	log := New(w, level)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return log
+}
+
 // Part is the log of one part of the program.
 type Part struct {
 	log    *logrus.Entry
--- a/internal/bench/replay/world.go
+++ b/internal/bench/replay/world.go
@@ -117,8 +117,13 @@
 	for _, e := range w.p.Events {
 		w.after(e.At, func() { w.begin(e) })
 	}
+	// Every request is answered or given up by its deadline.
+	end := model.Instant(w.p.Length + w.p.Deadline + time.Second)
 	for len(w.queue) > 0 {
 		e := heap.Pop(&w.queue).(event)
+		if e.at > end {
+			break
+		}
 		w.now = e.at
 		e.do()
 	}
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -57,14 +57,53 @@
 	Verb   model.Verb
 	Reason model.Reason
 	Flow   model.FlowKey
-	// Upstream is set for VerbForward and VerbProbe.
+	// Upstream is set for VerbForward and VerbProbe, and for others where one is concerned.
 	Upstream *roster.Upstream
+	// Offered is set when the packet opens a flow: how many upstreams got it so far, this one included.
+	Offered int
+	// Choices is how many upstreams the choice was between; it is set with Offered.
+	Choices int
+	// Tag is the one that the caller's packet carried.
+	Tag model.RoutingTag
 	// Raw is the packet to forward.
 	Raw []byte
 	// Position is what the caller last acknowledged; it is set for VerbReset.
 	Position uint32
 }
 
+// Sample is one time that was measured.
+type Sample struct {
+	Kind SampleKind
+	Took time.Duration
+}
+
+// SampleKind says what was measured.
+type SampleKind uint8
+
+// The kinds of samples.
+const (
+	// SampleHandshake is from an opening packet to the caller's next one.
+	SampleHandshake SampleKind = iota + 1
+	// SampleAnswer is from the last byte of a request to the caller's word that the answer arrives.
+	SampleAnswer
+)
+
+// samplesLimit bounds the samples that wait for Samples.
+const samplesLimit = 4096
+
+func (e *Engine) sample(kind SampleKind, took time.Duration) {
+	if len(e.samples) < samplesLimit {
+		e.samples = append(e.samples, Sample{Kind: kind, Took: took})
+	}
+}
+
+// Samples returns what was measured since the last call; it is valid until the next packet.
+func (e *Engine) Samples() []Sample {
+	list := e.samples
+	e.samples = e.samples[:0]
+	return list
+}
+
 // Engine steers for one instance; its methods must not be called at the same time.
 type Engine struct {
 	cfg     Config
@@ -86,6 +125,7 @@
 	ready   bool
 	actions []Action
 	notes   []Note
+	samples []Sample
 	// candidates is reused from one choice to the next.
 	candidates []place.Candidate[*roster.Upstream]
 }
@@ -133,6 +173,11 @@
 	return e.ready
 }
 
+// Flows returns how many flows are remembered.
+func (e *Engine) Flows() int {
+	return e.flows.Len()
+}
+
 // Revision returns that of the configuration in force.
 func (e *Engine) Revision() model.Revision {
 	return e.table.Revision
@@ -196,14 +241,17 @@
 	return e.timers.next()
 }
 
-func (e *Engine) forward(up *roster.Upstream, seg *model.Segment, reason model.Reason) {
-	e.actions = append(e.actions, Action{Verb: model.VerbForward, Reason: reason, Flow: seg.Flow, Upstream: up, Raw: seg.Raw})
+// forward sends a packet of an open flow on.
+func (e *Engine) forward(up *roster.Upstream, seg *model.Segment) {
+	e.actions = append(e.actions, Action{Verb: model.VerbForward, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag})
 }
 
-func (e *Engine) reset(flow model.FlowKey, position uint32, reason model.Reason) {
-	e.actions = append(e.actions, Action{Verb: model.VerbReset, Reason: reason, Flow: flow, Position: position})
+// reset ends a flow towards its caller; up is nil where none is concerned.
+func (e *Engine) reset(seg *model.Segment, up *roster.Upstream, reason model.Reason) {
+	e.actions = append(e.actions, Action{Verb: model.VerbReset, Reason: reason, Flow: seg.Flow, Upstream: up, Position: seg.Received, Tag: seg.Tag})
 }
 
-func (e *Engine) drop(flow model.FlowKey, reason model.Reason) {
-	e.actions = append(e.actions, Action{Verb: model.VerbDrop, Reason: reason, Flow: flow})
+// drop leaves a packet; up is nil where none is concerned.
+func (e *Engine) drop(seg *model.Segment, up *roster.Upstream, reason model.Reason) {
+	e.actions = append(e.actions, Action{Verb: model.VerbDrop, Reason: reason, Flow: seg.Flow, Upstream: up, Tag: seg.Tag})
 }
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -48,8 +48,7 @@
 func (e *Engine) open(now model.Instant, seg *model.Segment) {
 	r := e.routes[seg.Flow.Service]
 	if r == nil {
-		e.drop(seg.Flow, model.ReasonNoRoute)
-		e.reset(seg.Flow, 0, model.ReasonNoRoute)
+		e.reset(seg, nil, model.ReasonNoRoute)
 		return
 	}
 	f := e.flows.Use(now, seg.Flow)
@@ -64,7 +63,7 @@
 	} else {
 		e.budget.Earn()
 		if !e.flows.Put(now, seg.Flow, flow{}) {
-			e.reset(seg.Flow, 0, model.ReasonFlowLimit)
+			e.reset(seg, nil, model.ReasonFlowLimit)
 			return
 		}
 		f = e.flows.Peek(seg.Flow)
@@ -72,16 +71,15 @@
 	up := e.choose(now, r, f)
 	if up == nil {
 		e.flows.Delete(seg.Flow)
-		e.reset(seg.Flow, 0, model.ReasonNoUpstream)
+		e.reset(seg, nil, model.ReasonNoUpstream)
 		return
 	}
 	f.opening = append(f.opening[:0], seg.Raw...)
-	e.offer(now, seg.Flow, f, up)
-	e.forward(up, seg, reason)
+	e.offer(now, seg.Flow, f, up, reason)
 }
 
-// offer notes that the opening packet goes to an upstream.
-func (e *Engine) offer(now model.Instant, key model.FlowKey, f *flow, up *roster.Upstream) {
+// offer sends the opening packet of a flow to an upstream.
+func (e *Engine) offer(now model.Instant, key model.FlowKey, f *flow, up *roster.Upstream, reason model.Reason) {
 	f.move(up)
 	if !f.wasTried(up) {
 		f.tried = append(f.tried, up)
@@ -89,6 +87,10 @@
 	f.sent = now
 	e.timers.add(timer{at: now.Add(e.shakes.timeout()), flow: key, sent: now})
 	e.cold.note(now, up)
+	e.actions = append(e.actions, Action{
+		Verb: model.VerbForward, Reason: reason, Flow: key, Upstream: up, Raw: f.opening,
+		Offered: len(f.tried), Choices: len(e.candidates),
+	})
 }
 
 // expireHandshakes sends opening packets that got no answer to a further upstream.
@@ -119,13 +121,12 @@
 		return
 	}
 	if !e.budget.Spend() {
-		e.drop(key, model.ReasonRetryBudget)
+		e.drop(&model.Segment{Flow: key}, f.up, model.ReasonRetryBudget)
 		return
 	}
 	up := e.choose(now, r, f)
 	if up == nil || f.wasTried(up) {
 		return
 	}
-	e.offer(now, key, f, up)
-	e.forward(up, &model.Segment{Flow: key, Raw: f.opening}, model.ReasonHandshakeSilent)
+	e.offer(now, key, f, up, model.ReasonHandshakeSilent)
 }
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -13,7 +13,7 @@
 	e.actions = e.actions[:0]
 	switch {
 	case !e.ready:
-		e.drop(seg.Flow, model.ReasonNotReady)
+		e.drop(seg, nil, model.ReasonNotReady)
 	case seg.Open:
 		e.open(now, seg)
 	default:
@@ -26,7 +26,7 @@
 func (e *Engine) relay(now model.Instant, seg *model.Segment) {
 	r := e.routes[seg.Flow.Service]
 	if r == nil {
-		e.reset(seg.Flow, seg.Received, model.ReasonRouteRemoved)
+		e.reset(seg, nil, model.ReasonRouteRemoved)
 		return
 	}
 	f := e.flows.Use(now, seg.Flow)
@@ -36,24 +36,24 @@
 		return
 	}
 	if up.State == roster.StateGone {
-		e.ended(seg, f, model.ReasonUpstreamGone)
+		e.ended(seg, f, up, model.ReasonUpstreamGone)
 		return
 	}
 	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable() && !e.cfg.Without.Resets {
 		// The caller may repeat its request, and a new flow finds an upstream that can be reached.
-		e.ended(seg, f, model.ReasonUpstreamUnreachable)
+		e.ended(seg, f, up, model.ReasonUpstreamUnreachable)
 		return
 	}
 	if f == nil {
 		if !e.flows.Put(now, seg.Flow, flow{up: up}) {
-			e.forward(up, seg, model.ReasonNone)
+			e.forward(up, seg)
 			return
 		}
 		f = e.flows.Peek(seg.Flow)
 	}
 	f.move(up)
 	e.observe(now, seg, f)
-	e.forward(up, seg, model.ReasonNone)
+	e.forward(up, seg)
 	if seg.Aborts {
 		f.end()
 		e.flows.Delete(seg.Flow)
@@ -79,23 +79,23 @@
 // unresolved drops a packet whose upstream nobody here knows: it may be one that only others have heard of.
 func (e *Engine) unresolved(seg *model.Segment) {
 	if seg.Tag == 0 {
-		e.drop(seg.Flow, model.ReasonTagMissing)
+		e.drop(seg, nil, model.ReasonTagMissing)
 		return
 	}
-	e.drop(seg.Flow, model.ReasonTagUnknown)
+	e.drop(seg, nil, model.ReasonTagUnknown)
 }
 
 // ended answers a packet whose upstream will not get it, so that its caller need not wait.
-func (e *Engine) ended(seg *model.Segment, f *flow, reason model.Reason) {
+func (e *Engine) ended(seg *model.Segment, f *flow, up *roster.Upstream, reason model.Reason) {
 	if f != nil {
 		f.end()
 		e.flows.Delete(seg.Flow)
 	}
 	if seg.Aborts {
-		e.drop(seg.Flow, reason)
+		e.drop(seg, up, reason)
 		return
 	}
-	e.reset(seg.Flow, seg.Received, reason)
+	e.reset(seg, up, reason)
 }
 
 // observe learns from a caller's packet how its upstream does.
@@ -106,6 +106,9 @@
 	if seg.Answers && after(seg.Received, f.received) {
 		f.received = seg.Received
 		e.progress(now, f)
+		if f.asked != 0 {
+			e.sample(SampleAnswer, now.Sub(f.asked))
+		}
 		f.answer(now)
 	}
 	end := seg.Position + uint32(seg.Size)
@@ -132,6 +135,7 @@
 		e.alive(now, f.up)
 		if len(f.tried) == 1 {
 			e.shakes.observe(now.Sub(f.sent))
+			e.sample(SampleHandshake, now.Sub(f.sent))
 		}
 	}
 	f.opening, f.tried = nil, nil
--- a/internal/oper/shell/relay.go
+++ b/internal/oper/shell/relay.go
@@ -39,16 +39,33 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	r, err := relay.New(c.config(settings), logs.New(os.Stdout, logrus.InfoLevel))
+	out := logs.NewAsync(os.Stdout)
+	written := make(chan struct{})
+	writing, end := context.WithCancel(context.WithoutCancel(ctx))
+	go func() {
+		defer close(written)
+		_ = out.Run(writing)
+		out.Flush()
+	}()
+	err = c.serve(ctx, settings, out)
+	end()
+	<-written
 	if err != nil {
 		return failWith(err)
 	}
-	if err := r.Run(ctx); err != nil {
-		return failWith(err)
-	}
 	return exitDone
 }
 
+func (c *relayCommand) serve(ctx context.Context, settings platform.Settings, out *logs.Async) error {
+	cfg := c.config(settings)
+	cfg.LogsDropped = out.Dropped
+	r, err := relay.New(cfg, logs.NewJSON(out, logrus.InfoLevel))
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
 func (c *relayCommand) config(s platform.Settings) relay.Config {
 	client := platform.NewClient(s.Store, s.Packets.Addr())
 	cfg := relay.Config{
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -7,7 +7,6 @@
 
 	"hawthorncourse/internal/core/direct"
 	"hawthorncourse/internal/core/model"
-	"hawthorncourse/internal/core/roster"
 )
 
 const (
@@ -61,12 +60,14 @@
 			if now.Sub(due) > stallLimit {
 				r.stalled.Store(int64(now))
 			}
-			r.act(ctx, r.engine.Tick(now))
+			r.act(ctx, now, r.engine.Tick(now))
+			r.summarise(now)
+			r.measure()
+			r.gauge(now)
 		case <-ctx.Done():
 			return nil
 		}
 		r.report()
-		r.isolated.Store(r.engine.Isolated())
 		wait := r.untilTick()
 		due = r.now().Add(wait)
 		timer.Reset(wait)
@@ -85,14 +86,15 @@
 func (r *Relay) packet(ctx context.Context, seg *model.Segment) {
 	now := r.now()
 	r.lastPacket.Store(int64(now))
-	r.act(ctx, r.engine.Packet(now, seg))
+	r.act(ctx, now, r.engine.Packet(now, seg))
 }
 
 // act carries out the engine's decisions.
-func (r *Relay) act(ctx context.Context, actions []direct.Action) {
+func (r *Relay) act(ctx context.Context, now model.Instant, actions []direct.Action) {
 	for i := range actions {
 		a := &actions[i]
 		r.tally.count(a.Verb, a.Reason)
+		r.record(now, a)
 		switch a.Verb {
 		case model.VerbForward:
 			r.datagram = r.cfg.Codec.AppendForward(r.datagram[:0], a.Raw, a.Upstream.Number, a.Upstream.Tag)
@@ -123,29 +125,3 @@
 	default:
 	}
 }
-
-// report logs what the engine has come to believe.
-func (r *Relay) report() {
-	log := r.part("health")
-	for _, n := range r.engine.Notes() {
-		switch n.Kind {
-		case direct.NoteBarred:
-			log.With("upstream", n.Upstream.ID).With("domain", n.Upstream.Domain).With("misses", n.Upstream.Health.Misses()).Warn("An upstream does not answer; new flows go elsewhere.")
-		case direct.NoteReachable:
-			log.With("upstream", n.Upstream.ID).With("silentFor", n.Silent).Info("An upstream answers again.")
-		case direct.NoteDomainCut:
-			log.With("domain", n.Domain).Warn("A failure domain does not answer; new flows go elsewhere.")
-		case direct.NoteDomainReachable:
-			log.With("domain", n.Domain).With("silentFor", n.Silent).Info("A failure domain answers again.")
-		}
-	}
-	for _, n := range r.engine.Roster().Notes() {
-		r.reportUpstream(n)
-	}
-}
-
-func (r *Relay) reportUpstream(n roster.Note) {
-	u := n.Upstream
-	log := r.part("roster").With("upstream", u.ID).With("boot", u.Boot).With("service", u.Service).With("domain", u.Domain).With("revision", u.Revision)
-	log.With("state", n.State).Info("What is known of an upstream has changed.")
-}
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -265,6 +265,8 @@
 	newer := k.Revision > r.known.Revision
 	first := r.known.Revision == 0
 	r.known = k
+	r.revision.Store(uint64(k.Revision))
+	r.confirmed.Store(int64(arrived.Add(-k.Age)))
 	r.share.Publish(k)
 	r.do(ctx, func(now model.Instant) {
 		r.engine.Roster().Distrust(now.Add(k.Unsure))
--- /dev/null
+++ b/internal/run/relay/record.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"time"
+
+	"hawthorncourse/internal/base/logs"
+	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+)
+
+// decisionLines is the most lines a second for each kind of decision on packets: with five kinds, logging then takes
+// below a hundredth of the smallest instance's processor time.
+const decisionLines = 20
+
+// The kinds of decisions on packets that are logged.
+const (
+	kindPlace  = "place"
+	kindResend = "resend"
+	kindReset  = "reset"
+	kindDrop   = "drop"
+)
+
+// sentences says in a line what each kind of decision is.
+var sentences = map[string]string{
+	kindPlace:  "A new flow is placed.",
+	kindResend: "An opening packet goes to a further upstream.",
+	kindReset:  "A flow is reset.",
+	kindDrop:   "A packet is dropped.",
+}
+
+// recorder writes the log of decisions; the decide duty alone uses it.
+type recorder struct {
+	log    logs.Part
+	budget logs.Budget
+}
+
+// kindOf returns the kind of a decision; it is empty for packets of open flows, which only follow an earlier decision.
+func kindOf(a *direct.Action) string {
+	switch {
+	case a.Verb == model.VerbReset:
+		return kindReset
+	case a.Verb == model.VerbDrop:
+		return kindDrop
+	case a.Offered == 1:
+		return kindPlace
+	case a.Offered > 1:
+		return kindResend
+	default:
+		return ""
+	}
+}
+
+// record logs one decision with what decided it.
+func (r *Relay) record(now model.Instant, a *direct.Action) {
+	kind := kindOf(a)
+	if kind == "" || !r.recorder.budget.Admit(time.Duration(now), kind) {
+		return
+	}
+	revision, confirmed := model.Revision(r.revision.Load()), model.Instant(r.confirmed.Load())
+	log := r.recorder.log.With("kind", kind).With("flow", a.Flow.Caller).With("service", a.Flow.Service).
+		With("revision", revision).With("ageMs", now.Sub(confirmed).Milliseconds())
+	if a.Reason != model.ReasonNone {
+		log = log.With("reason", a.Reason)
+	}
+	if a.Tag != 0 {
+		log = log.With("tag", a.Tag)
+	}
+	if a.Offered > 0 {
+		log = log.With("choices", a.Choices).With("offered", a.Offered)
+	}
+	if u := a.Upstream; u != nil {
+		log = withUpstream(log, u).With("misses", u.Health.Misses()).With("silentMs", u.Health.Silent(now).Milliseconds()).
+			With("running", u.Load.Running).With("answerMs", u.Load.AnswerTime().Milliseconds())
+	}
+	log.Info(sentences[kind])
+}
+
+// withUpstream adds what tells one start of an upstream from all others.
+func withUpstream(log logs.Part, u *roster.Upstream) logs.Part {
+	return log.With("upstream", u.ID).With("boot", u.Boot).With("upstreamTag", u.Tag).With("domain", u.Domain).
+		With("state", u.State).With("entryRevision", u.Revision)
+}
+
+// summarise logs what the budgets left out.
+func (r *Relay) summarise(now model.Instant) {
+	for _, left := range r.recorder.budget.Turn(time.Duration(now)) {
+		r.counts.Counter("log.left_out." + left.Kind).Inc(int64(left.Lines))
+		r.recorder.log.With("kind", left.Kind).With("lines", left.Lines).Info("Lines were left out.")
+	}
+	if n := r.cfg.LogsDropped(); n > 0 {
+		r.counts.Counter("log.dropped").Inc(n)
+		r.recorder.log.With("lines", n).Warn("Lines were lost, since the log's reader was too slow.")
+	}
+}
+
+// report logs what the engine has come to believe; these lines have no budget, since beliefs change seldom.
+func (r *Relay) report() {
+	log := r.part("health")
+	for _, n := range r.engine.Notes() {
+		switch n.Kind {
+		case direct.NoteBarred:
+			withUpstream(log, n.Upstream).With("misses", n.Upstream.Health.Misses()).Warn("An upstream does not answer; new flows go elsewhere.")
+		case direct.NoteReachable:
+			withUpstream(log, n.Upstream).With("silentMs", n.Silent.Milliseconds()).Info("An upstream answers again.")
+		case direct.NoteDomainCut:
+			log.With("domain", n.Domain).Warn("A failure domain does not answer; new flows go elsewhere.")
+		case direct.NoteDomainReachable:
+			log.With("domain", n.Domain).Info("A failure domain answers again.")
+		}
+	}
+	for _, n := range r.engine.Roster().Notes() {
+		withUpstream(r.part("roster"), n.Upstream).With("service", n.Upstream.Service).With("draining", n.Upstream.Draining).
+			Info("What is known of an upstream has changed.")
+	}
+	if isolated := r.engine.Isolated(); isolated != r.isolated.Swap(isolated) {
+		r.part("relay").With("isolated", isolated).Warn("Whether any upstream can be reached has changed.")
+	}
+}
+
+// measure counts what the engine measured.
+func (r *Relay) measure() {
+	for _, s := range r.engine.Samples() {
+		if s.Kind == direct.SampleHandshake {
+			r.handshakes.RecordDuration(s.Took)
+		} else {
+			r.answers.RecordDuration(s.Took)
+		}
+	}
+}
+
+// gauge sets the gauges of what is known.
+func (r *Relay) gauge(now model.Instant) {
+	states := map[roster.State]int{}
+	barred := 0
+	for _, u := range r.engine.Roster().All() {
+		states[u.State]++
+		if u.Health.Barred() {
+			barred++
+		}
+	}
+	for _, s := range []roster.State{roster.StateListed, roster.StateMissing, roster.StateUnreadable} {
+		r.counts.Gauge("upstreams." + s.String()).Update(float64(states[s]))
+	}
+	r.counts.Gauge("upstreams.barred").Update(float64(barred))
+	r.counts.Gauge("flows").Update(float64(r.engine.Flows()))
+	r.counts.Gauge("knowledge.age_seconds").Update(now.Sub(model.Instant(r.confirmed.Load())).Seconds())
+	r.counts.Gauge("knowledge.revision").Update(float64(r.revision.Load()))
+}
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"hawthorncourse/internal/base/count"
@@ -89,6 +90,8 @@
 	ColdFactor float64
 	// ColdSlack is the number of flows a second that a cold upstream may get beyond its rate.
 	ColdSlack float64
+	// LogsDropped returns how many lines of the log were lost since the last call; nil for a log that loses none.
+	LogsDropped func() int64
 	// Reload is signalled when the settings may have changed; nil for never.
 	Reload <-chan struct{}
 }
@@ -126,6 +129,12 @@
 	stalled atomic.Int64
 	// lastPacket is the instant at which the last packet was decided on.
 	lastPacket atomic.Int64
+	// revision and confirmed are of what is known, for the log.
+	revision  atomic.Uint64
+	confirmed atomic.Int64
+	recorder  recorder
+	// handshakes and answers are the times that the engine measured.
+	handshakes, answers tally.Histogram
 	// datagram is reused by the decide duty.
 	datagram []byte
 }
@@ -152,6 +161,11 @@
 		nudge:    make(chan struct{}, 1),
 	}
 	r.tally = newTallies(r.counts)
+	r.handshakes, r.answers = r.counts.Latency("handshake"), r.counts.Latency("answer")
+	r.recorder = recorder{log: r.part("flow"), budget: logs.Budget{Limit: decisionLines}}
+	if r.cfg.LogsDropped == nil {
+		r.cfg.LogsDropped = func() int64 { return 0 }
+	}
 	r.engine = direct.New(direct.Config{
 		Domain:     cfg.Domain,
 		Seed:       uint64(start.UnixNano()),
--- a/internal/run/relay/serve.go
+++ b/internal/run/relay/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -22,16 +21,15 @@
 	return serve(ctx, r.ready, mux)
 }
 
-// serveMetrics serves every counter as text, one a line.
+// serveMetrics serves every metric as text.
 func (r *Relay) serveMetrics(ctx context.Context) error {
 	if r.metrics == nil {
 		return nil
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		for _, total := range r.counts.Totals() {
-			fmt.Fprintf(w, "%s %d\n", total.Name, total.Value)
-		}
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		r.counts.WriteText(w)
 	})
 	return serve(ctx, r.metrics, mux)
 }
