--- a/internal/bench/replay/caller.go
+++ b/internal/bench/replay/caller.go
@@ -18,6 +18,8 @@
 	// retryPause is a caller's pause before its next try.
 	retryPause  = 5 * time.Millisecond
 	requestSize = 400
+	// callersBegin is when callers begin; instances are ready before.
+	callersBegin = 500 * time.Millisecond
 )
 
 // request is one request of a caller, over all its tries.
@@ -56,10 +58,10 @@
 // addUsers lets users of long flows and arrivals of bookings begin.
 func (w *world) addUsers(d model.DomainID) {
 	for range w.p.Users {
-		w.after(w.pause(w.p.Think), func() { w.stream(d, nil) })
+		w.after(callersBegin+w.pause(w.p.Think), func() { w.stream(d, nil) })
 	}
 	if w.p.Bookings > 0 {
-		w.after(w.pause(time.Second/time.Duration(w.p.Bookings)), func() { w.booking(d) })
+		w.after(callersBegin+w.pause(time.Second/time.Duration(w.p.Bookings)), func() { w.booking(d) })
 	}
 }
 
--- a/internal/bench/replay/replay_test.go
+++ b/internal/bench/replay/replay_test.go
@@ -17,12 +17,37 @@
 	is.Equal(first.String(), second.String())
 }
 
-func TestPrint(t *testing.T) {
+// TestBookings checks in every pattern that no decision lets a booking run twice, and that every request has an outcome.
+func TestBookings(t *testing.T) {
 	list, err := replay.Patterns()
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, p := range list {
-		t.Log(p.Name, replay.Run(replay.Config{Pattern: p, Seed: 1}))
+		for _, v := range replay.Variants() {
+			t.Run(p.Name+"/"+v.Name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				r := replay.Run(replay.Config{Pattern: p, Seed: 9, Policy: v.Policy, Without: v.Without})
+				is.Equal(r.Twice, 0)
+				is.Equal(r.InAim+r.Late+r.Failed, r.Asked)
+			})
+		}
+	}
+}
+
+// TestPatternFaults checks that a pattern that cannot be played is refused with its line.
+func TestPatternFaults(t *testing.T) {
+	cases := map[string]string{
+		"no JSON":          `{`,
+		"unknown kind":     `{"events": [{"at": "1s", "kind": "flood"}]}`,
+		"unknown field":    `{"lenght": "5s"}`,
+		"length too short": `{"length": "1ms"}`,
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := replay.ParsePattern("x", []byte(text))
+			is.New(t).True(err != nil)
+		})
 	}
 }
--- /dev/null
+++ b/internal/bench/tools/replay.go
@@ -0,0 +1,98 @@
+package tools
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"hawthorncourse/internal/bench/replay"
+)
+
+// replayCommand plays load patterns against the decisions of direct flows.
+type replayCommand struct {
+	patterns string
+	variants string
+	file     string
+	seeds    int
+}
+
+// newReplay returns the command.
+func newReplay() *command {
+	c := &replayCommand{}
+	return &command{
+		name:     "replay",
+		synopsis: "play load patterns against the decisions, in virtual time",
+		usage:    "[-patterns LIST] [-variants LIST] [-file PATTERN.json] [-seeds N]\n  Print what callers of each pattern see, with the product's decisions and with simpler ones.",
+		flags:    c.setFlags,
+		run:      c.run,
+	}
+}
+
+func (c *replayCommand) setFlags(f *flag.FlagSet) {
+	f.StringVar(&c.patterns, "patterns", "", "patterns to play; all if empty")
+	f.StringVar(&c.variants, "variants", "", "variants to compare; all if empty")
+	f.StringVar(&c.file, "file", "", "a pattern of your own in place of the recorded ones")
+	f.IntVar(&c.seeds, "seeds", 4, "seeds to play each with")
+}
+
+func (c *replayCommand) run(ctx context.Context) error {
+	if c.seeds < 1 {
+		return eris.New("-seeds must be at least 1")
+	}
+	patterns, err := c.load()
+	if err != nil {
+		return err
+	}
+	played := 0
+	for _, p := range patterns {
+		for _, v := range replay.Variants() {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if listed(c.patterns, p.Name) && listed(c.variants, v.Name) {
+				c.play(p, v)
+				played++
+			}
+		}
+	}
+	if played == 0 {
+		return eris.New("no pattern and variant of these names")
+	}
+	return nil
+}
+
+func (c *replayCommand) load() ([]*replay.Pattern, error) {
+	if c.file == "" {
+		return replay.Patterns()
+	}
+	text, err := os.ReadFile(c.file)
+	if err != nil {
+		return nil, err
+	}
+	p, err := replay.ParsePattern(c.file, text)
+	return []*replay.Pattern{p}, err
+}
+
+func (c *replayCommand) play(p *replay.Pattern, v replay.Variant) {
+	for seed := 1; seed <= c.seeds; seed++ {
+		r := replay.Run(replay.Config{Pattern: p, Seed: uint64(seed), Policy: v.Policy, Without: v.Without})
+		fmt.Printf("%-8s %-14s seed %d  %s\n", p.Name, v.Name, seed, r)
+	}
+}
+
+// listed reports whether a list of names, or an empty one, holds the name.
+func listed(list, name string) bool {
+	if list == "" {
+		return true
+	}
+	for _, item := range strings.Split(list, ",") {
+		if strings.TrimSpace(item) == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/bench/tools/tools.go
+++ b/internal/bench/tools/tools.go
@@ -20,7 +20,7 @@
 func Register(c *subcommands.Commander) {
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.CommandsCommand(), "")
-	for _, cmd := range []*command{newDemo(), newBalance(), newSlopes(), newFlows(), newPath()} {
+	for _, cmd := range []*command{newDemo(), newBalance(), newSlopes(), newFlows(), newPath(), newReplay()} {
 		c.Register(cmd, "")
 	}
 }
