Take an upstream for gone only when the store has confirmed it after the grace

Cause: TestFaults 'entries lapse while the store is away' lost 10 requests: a missing entry became final by the clock alone, while the last word from the store was a second old and the upstream's new entry lay there already. Ruled out: the grace itself (2 s are promised, 2.5 s given). Change: the roster judges missing entries at confirmations only.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -77,18 +77,7 @@
 			r.missing(now, id)
 		}
 	}
-}
-
-// Apply takes over one change of the registry.
-func (r *Roster) Apply(now model.Instant, c *model.Change[model.Registration]) {
-	switch {
-	case c.Item != nil:
-		r.put(now, c.Item)
-	case c.Removed:
-		r.missing(now, model.UpstreamID(c.Name))
-	default:
-		r.unreadable(now, model.UpstreamID(c.Name))
-	}
+	r.Confirm(now)
 }
 
 // Distrust notes that the registry was away: until then, a missing entry may come back.
@@ -96,15 +85,20 @@
 	r.unsure = max(r.unsure, until)
 }
 
-// Tick ends the upstreams whose entry has not come back, and forgets those that ended long ago.
-func (r *Roster) Tick(now model.Instant) {
-	if now >= r.unsure {
-		for _, u := range r.current {
-			if u.State == StateMissing && now.Sub(u.Since) >= LapseGrace {
-				r.end(now, u)
-			}
+// Confirm notes that the registry is still as it was last told: whose entry has not come back by then has ended.
+func (r *Roster) Confirm(now model.Instant) {
+	if now < r.unsure {
+		return
+	}
+	for _, u := range r.current {
+		if u.State == StateMissing && now.Sub(u.Since) >= LapseGrace {
+			r.end(now, u)
 		}
 	}
+}
+
+// Tick forgets the upstreams that ended long ago.
+func (r *Roster) Tick(now model.Instant) {
 	for len(r.ended) > 0 && now.Sub(r.ended[0].Since) >= r.cfg.Remember {
 		old := r.ended[0]
 		r.ended = r.ended[1:]
@@ -208,6 +202,8 @@
 	case u == nil:
 	case now < r.unsure:
 		r.set(now, u, StateMissing)
+	case u.State == StateMissing:
+		// Confirm judges it.
 	default:
 		r.end(now, u)
 	}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -55,10 +55,18 @@
 			play: func(r *roster.Roster) {
 				r.Distrust(settled.Add(roster.LapseGrace))
 				r.Sync(settled, listing())
-				r.Tick(settled.Add(roster.LapseGrace))
+				r.Confirm(settled.Add(roster.LapseGrace))
 			},
 			want: roster.StateGone,
 		},
+		"nothing was heard since its entry was found missing after the store was away": {
+			play: func(r *roster.Roster) {
+				r.Distrust(settled.Add(roster.LapseGrace))
+				r.Sync(settled, listing())
+				r.Tick(settled.Add(10 * time.Second))
+			},
+			want: roster.StateMissing,
+		},
 		"its entry comes back after the store was away": {
 			play: func(r *roster.Roster) {
 				r.Distrust(settled.Add(roster.LapseGrace))
