Keep the project's own objects in the platform's store by its one client

Cause: the object API of the project was invented before the platform's was known; two clients and two stand-ins for one store stood side by side. Change: internal/plat/object keeps document, keys and list of instances as objects of own kinds through platform.Client; the old stand-in is gone, platform/stand serves all tests. Flows whose unknown tag the registry has confirmed to be nobody's are reset; a flow that does not wait itself is reset after three failed probes. 'hawthorncourse explain' tells a flow's story from logs.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -17,9 +17,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/plat/object"
 	"hawthorncourse/internal/stand/spray"
-	"hawthorncourse/internal/stand/store"
 	"hawthorncourse/internal/stand/upnode"
+	"hawthorncourse/platform/stand"
 )
 
 // The ports of a fleet; each party has its own loopback address.
@@ -77,7 +78,7 @@
 	base int
 	lock net.Listener
 
-	Store     *store.Store
+	Store     *stand.Store
 	Fabric    *spray.Fabric
 	Nodes     []*upnode.Node
 	Instances []*Instance
@@ -92,6 +93,8 @@
 	mu sync.Mutex
 	// gone holds the instances that the fabric leaves out, guarded by mu.
 	gone map[model.InstanceID]bool
+	// listed holds the instances in the platform's list; guarded by mu.
+	listed []model.InstanceID
 }
 
 // Start builds a fleet and waits until every instance has the document in force.
@@ -104,7 +107,7 @@
 			}
 		}
 	}()
-	f = &Fleet{cfg: cfg, Store: store.New(), Services: map[model.ServiceID]netip.AddrPort{}, gone: map[model.InstanceID]bool{}}
+	f = &Fleet{cfg: cfg, Store: stand.NewStore(), Services: map[model.ServiceID]netip.AddrPort{}, gone: map[model.InstanceID]bool{}}
 	if err := f.claim(); err != nil {
 		return f, err
 	}
@@ -227,16 +230,33 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var targets []netip.AddrPort
-	var list []store.Instance
+	var list []object.Instance
 	for _, in := range f.Instances {
 		if f.gone[in.ID] {
 			continue
 		}
 		targets = append(targets, in.Front)
-		list = append(list, store.Instance{ID: string(in.ID), Domain: string(in.Domain), Control: in.Advertise.String(), Leaving: in.leaving})
+		list = append(list, object.Instance{ID: in.ID, Domain: in.Domain, Control: in.Advertise, Leaving: in.leaving})
 	}
 	f.Fabric.SetTargets(targets)
-	f.Store.SetInstances(list)
+	f.listInstances(list)
+}
+
+// listInstances puts the instances into the platform's list in place of those before.
+func (f *Fleet) listInstances(list []object.Instance) {
+	kind := string(object.KindInstances)
+	for _, id := range f.listed {
+		f.Store.Remove(kind, string(id))
+	}
+	f.listed = nil
+	for _, in := range list {
+		spec, err := object.FormatInstance(in)
+		if err != nil {
+			continue
+		}
+		f.Store.Put(kind, string(in.ID), spec)
+		f.listed = append(f.listed, in.ID)
+	}
 }
 
 // setGone changes, after the lag of the platform, whether packets go to the instance.
--- a/internal/bench/replay/instance.go
+++ b/internal/bench/replay/instance.go
@@ -80,6 +80,7 @@
 func (in *instance) install() {
 	in.engine.Roster().Sync(in.now(), in.w.listing())
 	in.engine.Roster().SetOut(in.now(), in.w.out)
+	in.engine.Roster().Confirm(in.now(), in.now())
 }
 
 // now is the instant on the instance's clock, which is past the grace of a start at once.
--- a/internal/bench/tools/slopes.go
+++ b/internal/bench/tools/slopes.go
@@ -175,7 +175,7 @@
 		u.cpu += stat.CPUTime()
 		u.rss += stat.ResidentMemory()
 	}
-	reads, writes := f.Store.Calls()
-	u.calls = reads + writes
+	calls := f.Store.Calls()
+	u.calls = calls.Reads + calls.Writes
 	return u, nil
 }
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -119,6 +119,8 @@
 	shakes  handshakes
 	domains map[model.DomainID]*health.Domain
 	cold    coldLimits
+	// unknown holds when each tag that nobody here knows was first seen; at most unknownLimit.
+	unknown map[unknownTag]model.Instant
 	// probing counts the probes under way; at most probesAtOnce.
 	probing int
 	// ready is set once routes, upstreams and failure domains are known.
@@ -155,6 +157,7 @@
 		budget:  choose.Budget{Percent: resendPercent},
 		domains: map[model.DomainID]*health.Domain{},
 		cold:    coldLimits{},
+		unknown: map[unknownTag]model.Instant{},
 	}
 }
 
--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -86,3 +86,8 @@
 	}
 	return false
 }
+
+// waits reports whether the packet repeats data that got no answer; a flow that was not seen before is taken not to wait.
+func (f *flow) waits(seg *model.Segment) bool {
+	return f != nil && f.open && f.asked != 0 && !after(seg.Position+uint32(seg.Size), f.position)
+}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"net/netip"
+
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
@@ -32,14 +34,14 @@
 	f := e.flows.Use(now, seg.Flow)
 	up := e.resolve(r, f, seg)
 	if up == nil {
-		e.unresolved(seg)
+		e.unresolved(now, seg, f)
 		return
 	}
 	if up.State == roster.StateGone {
 		e.ended(seg, f, up, model.ReasonUpstreamGone)
 		return
 	}
-	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable() && !e.cfg.Without.Resets {
+	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable(f.waits(seg)) && !e.cfg.Without.Resets {
 		// The caller may repeat its request, and a new flow finds an upstream that can be reached.
 		e.ended(seg, f, up, model.ReasonUpstreamUnreachable)
 		return
@@ -76,12 +78,34 @@
 	return nil
 }
 
-// unresolved drops a packet whose upstream nobody here knows: it may be one that only others have heard of.
-func (e *Engine) unresolved(seg *model.Segment) {
+// unknownLimit bounds the tags that are remembered as unknown; more than that are noise.
+const unknownLimit = 1024
+
+// unknownTag is a tag that no upstream of a route's services had.
+type unknownTag struct {
+	service netip.AddrPort
+	tag     model.RoutingTag
+}
+
+// unresolved decides on a packet whose upstream nobody here knows. It may be one that only others have heard of; once the
+// registry has been confirmed since the tag was first seen, it is one that has ended.
+func (e *Engine) unresolved(now model.Instant, seg *model.Segment, f *flow) {
 	if seg.Tag == 0 {
 		e.drop(seg, nil, model.ReasonTagMissing)
 		return
 	}
+	key := unknownTag{service: seg.Flow.Service, tag: seg.Tag}
+	since, known := e.unknown[key]
+	switch {
+	case !known:
+		if len(e.unknown) >= unknownLimit {
+			clear(e.unknown)
+		}
+		e.unknown[key] = now
+	case e.roster.Complete(now, since):
+		e.ended(seg, f, nil, model.ReasonUpstreamGone)
+		return
+	}
 	e.drop(seg, nil, model.ReasonTagUnknown)
 }
 
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -15,8 +15,11 @@
 	// domainSilence is how long none of its upstreams may have shown a sign of life by then; some of several that live
 	// would have done so at ten flows a second.
 	domainSilence = 300 * time.Millisecond
-	// certainLimit is how many probes must fail before an upstream is certain not to hear this instance.
-	certainLimit = 2
+	// likelyLimit is how many probes must fail before a flow that gets no answer itself need not wait longer.
+	likelyLimit = 2
+	// certainLimit is how many must fail before an upstream is certain not to hear this instance, whatever a flow shows:
+	// a full link loses packets and probes alike.
+	certainLimit = 3
 	// firstPause is the time to the second probe of an upstream; a caller repeats data for the second time after 600 ms.
 	firstPause = 100 * time.Millisecond
 	// pauseGrowth lengthens the pause after each probe.
@@ -113,9 +116,10 @@
 	return t.misses >= missLimit || t.failed > 0
 }
 
-// Unreachable reports whether flows and repeated probes went unanswered, without a sign of life between them.
-func (t *Track) Unreachable() bool {
-	return t.failed >= certainLimit
+// Unreachable reports whether flows and probes went unanswered for so long, without a sign of life between them, that a
+// flow is better off elsewhere; waits tells whether the flow itself got no answer.
+func (t *Track) Unreachable(waits bool) bool {
+	return t.failed >= certainLimit || (waits && t.failed >= likelyLimit)
 }
 
 // Misses returns how many packets in a row got no answer.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -37,6 +37,10 @@
 	ended []*Upstream
 	// unsure is until when a missing entry proves nothing.
 	unsure model.Instant
+	// confirmed is the last instant at which the registry was as it was last told.
+	confirmed model.Instant
+	// spoilt is set while an entry cannot be understood: it may be that of an upstream that lives.
+	spoilt bool
 	// out holds the failure domains that operators have taken out.
 	out map[model.DomainID]model.Instant
 	// notes collects changes of state for the log.
@@ -63,6 +67,7 @@
 
 // Sync takes over a whole listing; what it lacks is missing.
 func (r *Roster) Sync(now model.Instant, list model.Listing[model.Registration]) {
+	r.spoilt = len(list.Unreadable) > 0
 	listed := make(map[model.UpstreamID]bool, len(list.Items))
 	for i := range list.Items {
 		listed[list.Items[i].ID] = true
@@ -77,7 +82,6 @@
 			r.missing(now, id)
 		}
 	}
-	r.Confirm(now)
 }
 
 // Distrust notes that the registry was away: until then, a missing entry may come back.
@@ -85,8 +89,9 @@
 	r.unsure = max(r.unsure, until)
 }
 
-// Confirm notes that the registry is still as it was last told: whose entry has not come back by then has ended.
-func (r *Roster) Confirm(now model.Instant) {
+// Confirm notes that at the instant the registry was as it was last told: whose entry has not come back by then has ended.
+func (r *Roster) Confirm(now, at model.Instant) {
+	r.confirmed = max(r.confirmed, at)
 	if now < r.unsure {
 		return
 	}
@@ -97,6 +102,12 @@
 	}
 }
 
+// Complete reports whether every upstream that lived since the instant is known here: the registry was confirmed after
+// it, was not away, and holds no entry that cannot be understood.
+func (r *Roster) Complete(now, since model.Instant) bool {
+	return r.confirmed > since && now >= r.unsure && !r.spoilt
+}
+
 // Tick forgets the upstreams that ended long ago.
 func (r *Roster) Tick(now model.Instant) {
 	for len(r.ended) > 0 && now.Sub(r.ended[0].Since) >= r.cfg.Remember {
@@ -185,6 +196,9 @@
 		// The remaining time counts from the write, which was seen only now: the error is on the careful side.
 		u.ColdUntil = now.Add(reg.ColdFor)
 	}
+	if u.Draining != reg.Draining {
+		r.notes = append(r.notes, Note{Upstream: u, State: u.State})
+	}
 	u.Registration = *reg
 	r.set(now, u, StateListed)
 }
--- /dev/null
+++ b/internal/oper/shell/explain.go
@@ -0,0 +1,58 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"hawthorncourse/internal/oper/story"
+)
+
+// explainCommand tells from logs what became of one flow.
+type explainCommand struct{}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell from logs what became of one flow" }
+func (*explainCommand) Usage() string {
+	return "explain FLOW [LOG...]\n  Tell what became of a flow, named by its caller's address and port, from the logs of all instances.\n" +
+		"  Without files, logs are read from standard input.\n  Example: hawthorncourse explain 100.64.0.7:40001 east-1.log east-2.log\n" +
+		"  Exit codes: 0 told, 1 no line tells of the flow or a log cannot be read, 2 wrong use.\n"
+}
+func (*explainCommand) SetFlags(*flag.FlagSet) {}
+
+func (*explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fail("Name a flow by its caller's address and port, such as 100.64.0.7:40001.")
+		return exitUsage
+	}
+	entries, err := readLogs(f.Args()[1:])
+	if err != nil {
+		return failWith(err)
+	}
+	s, err := story.Of(entries, f.Arg(0))
+	if err != nil {
+		return failWith(err)
+	}
+	s.Write(os.Stdout)
+	return exitDone
+}
+
+// readLogs reads every file, or standard input if none is named.
+func readLogs(paths []string) (all []story.Entry, err error) {
+	if len(paths) == 0 {
+		return story.Read(os.Stdin)
+	}
+	var logs []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	return story.Read(io.MultiReader(logs...))
+}
--- a/internal/oper/shell/shell.go
+++ b/internal/oper/shell/shell.go
@@ -36,7 +36,7 @@
 	for _, cmd := range []subcommands.Command{&entryCommand{}, &relayCommand{}} {
 		c.Register(cmd, "instances")
 	}
-	for _, cmd := range []subcommands.Command{&checkCommand{}, &applyCommand{}, &showCommand{}, &statusCommand{}, newDrain(), newRestore(), &consoleCommand{}} {
+	for _, cmd := range []subcommands.Command{&checkCommand{}, &applyCommand{}, &showCommand{}, &statusCommand{}, newDrain(), newRestore(), &consoleCommand{}, &explainCommand{}} {
 		c.Register(cmd, "operators")
 	}
 	c.Register(&versionCommand{}, "")
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -1,40 +1,43 @@
-// Package object speaks to the platform's object API.
+// Package object keeps the project's own objects in the platform's store: one version of each, with watches.
 package object
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
+	"errors"
 	"net/netip"
-	"strconv"
-	"strings"
+	"net/url"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"hawthorncourse/internal/core/model"
+	"hawthorncourse/platform"
 )
 
 const (
 	callTimeout = 3 * time.Second
 	// WatchFor is how long one watch waits at the platform.
-	WatchFor  = 25 * time.Second
-	bodyLimit = 1 << 20
-	idleCalls = 4
+	WatchFor = 25 * time.Second
+)
+
+// The kinds of the project's objects in the store.
+const (
+	// KindObjects holds the document and the binding keys, by name.
+	KindObjects platform.Kind = "hawthornObjects"
+	// KindInstances is the platform's lagging list of instances, by their names.
+	KindInstances platform.Kind = "hawthornInstances"
 )
 
 // The errors of calls.
 var (
 	// ErrConflict means that somebody else changed the object first.
-	ErrConflict = eris.New("object has changed since it was read")
+	ErrConflict = platform.ErrConflict
 	// ErrNotFound means that there is no such object.
-	ErrNotFound = eris.New("object does not exist")
+	ErrNotFound = platform.ErrNotFound
 	// ErrRejected means that the platform will never take the call as it is.
-	ErrRejected = eris.New("platform rejects the call")
+	ErrRejected = platform.ErrRejected
 	// ErrUnchanged means that a watch ended without a change.
 	ErrUnchanged = eris.New("object has not changed")
 )
@@ -53,161 +56,135 @@
 	Leaving bool
 }
 
-// Client calls the platform.
+// Client keeps objects in the store.
 type Client struct {
-	base string
-	http *http.Client
+	store *platform.Client
+	// bad is why no call can be made; nil if the store's address is known.
+	bad error
+
+	mu sync.Mutex
+	// seen holds, for each object, a revision up to which it has not changed since its version; guarded by mu.
+	seen map[string]model.Revision
 }
 
-// NewClient returns a client of the platform at the URL that calls from the local address, if that is given.
+// NewClient returns a client of the store at the URL that calls from the local address, if that is given.
 func NewClient(base string, local netip.Addr) *Client {
-	dialer := &net.Dialer{Timeout: callTimeout}
-	if local.IsValid() && !local.IsUnspecified() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	c := &Client{seen: map[string]model.Revision{}}
+	u, err := url.Parse(base)
+	if err != nil {
+		c.bad = err
+		return c
+	}
+	at, err := netip.ParseAddrPort(u.Host)
+	if err != nil {
+		c.bad = eris.Wrapf(err, "platform %q must be a URL with an IP address and a port", base)
+		return c
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleCalls}
-	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
+	c.store = platform.NewClient(at, local)
+	return c
 }
 
 // Get reads an object.
 func (c *Client) Get(ctx context.Context, name string) (obj Object, err error) {
 	defer annotate(&err, "read object %s", name)
+	if c.bad != nil {
+		return Object{}, c.bad
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.read(ctx, "/objects/"+name)
+	got, err := c.store.Get(ctx, KindObjects, name)
+	if err != nil {
+		return Object{}, err
+	}
+	return decode(got)
 }
 
 // Watch waits for a version above the given one; it returns ErrUnchanged if none came.
 func (c *Client) Watch(ctx context.Context, name string, above model.Version) (obj Object, err error) {
 	defer annotate(&err, "watch object %s", name)
+	if c.bad != nil {
+		return Object{}, c.bad
+	}
 	ctx, cancel := context.WithTimeout(ctx, WatchFor+callTimeout)
 	defer cancel()
-	return c.read(ctx, fmt.Sprintf("/objects/%s?above=%d&wait=%s", name, above, WatchFor))
-}
-
-// Put writes an object if it is still at the version, zero for one that must not exist yet.
-func (c *Client) Put(ctx context.Context, name string, at model.Version, body []byte) (v model.Version, err error) {
-	defer annotate(&err, "write object %s", name)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+"/objects/"+name, bytes.NewReader(body))
-	if err != nil {
-		return 0, err
+	after := max(c.position(name), model.Revision(above))
+	if after == 0 {
+		return c.reread(ctx, name, above)
 	}
-	if at == 0 {
-		req.Header.Set("If-None-Match", "*")
-	} else {
-		req.Header.Set("If-Match", etag(at))
+	events, rev, err := c.store.Watch(ctx, KindObjects, after, WatchFor)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		return c.reread(ctx, name, above)
 	}
-	res, err := c.http.Do(req)
 	if err != nil {
-		return 0, err
+		return Object{}, err
 	}
-	defer res.Body.Close()
-	if err := status(res); err != nil {
-		return 0, err
+	c.setPosition(name, rev)
+	for i := len(events) - 1; i >= 0; i-- {
+		if events[i].Object.Name == name && !events[i].Removed {
+			return decode(events[i].Object)
+		}
 	}
-	return version(res)
+	return Object{}, ErrUnchanged
 }
 
-// Instances reads the platform's lagging list of instances.
-func (c *Client) Instances(ctx context.Context) (list []Instance, err error) {
-	defer annotate(&err, "list instances")
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	res, err := c.get(ctx, "/instances")
+// reread reads an object whose changes the store no longer holds, or that was never read.
+func (c *Client) reread(ctx context.Context, name string, above model.Version) (Object, error) {
+	items, rev, err := c.store.List(ctx, KindObjects)
 	if err != nil {
-		return nil, err
-	}
-	defer res.Body.Close()
-	var wire []wireInstance
-	if err := json.NewDecoder(io.LimitReader(res.Body, bodyLimit)).Decode(&wire); err != nil {
-		return nil, err
+		return Object{}, err
 	}
-	for _, w := range wire {
-		in, err := w.instance()
-		if err != nil {
-			return nil, err
+	c.setPosition(name, rev)
+	for _, item := range items {
+		if item.Name == name && model.Version(item.Revision) > above {
+			return decode(item)
 		}
-		list = append(list, in)
 	}
-	return list, nil
+	return Object{}, ErrUnchanged
 }
 
-// wireInstance is an instance as the platform writes it.
-type wireInstance struct {
-	ID      string `json:"id"`
-	Domain  string `json:"domain"`
-	Control string `json:"control"`
-	Leaving bool   `json:"leaving"`
+func (c *Client) position(name string) model.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen[name]
 }
 
-func (w wireInstance) instance() (Instance, error) {
-	addr, err := netip.ParseAddrPort(w.Control)
-	if err != nil {
-		return Instance{}, err
-	}
-	return Instance{ID: model.InstanceID(w.ID), Domain: model.DomainID(w.Domain), Control: addr, Leaving: w.Leaving}, nil
+func (c *Client) setPosition(name string, rev model.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen[name] = max(c.seen[name], rev)
 }
 
-func (c *Client) read(ctx context.Context, path string) (Object, error) {
-	res, err := c.get(ctx, path)
-	if err != nil {
-		return Object{}, err
+// Put writes an object if it is still at the version, zero for one that must not exist yet.
+func (c *Client) Put(ctx context.Context, name string, at model.Version, body []byte) (v model.Version, err error) {
+	defer annotate(&err, "write object %s", name)
+	if c.bad != nil {
+		return 0, c.bad
 	}
-	defer res.Body.Close()
-	v, err := version(res)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	spec, err := json.Marshal(string(body))
 	if err != nil {
-		return Object{}, err
+		return 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, bodyLimit))
-	return Object{Version: v, Body: body}, err
-}
-
-func (c *Client) get(ctx context.Context, path string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return nil, err
+	var obj platform.Object
+	if at == 0 {
+		obj, err = c.store.Create(ctx, KindObjects, name, spec)
+	} else {
+		obj, err = c.store.Replace(ctx, KindObjects, name, model.Revision(at), spec)
 	}
-	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, err
-	}
-	if err := status(res); err != nil {
-		_ = res.Body.Close()
-		return nil, err
-	}
-	return res, nil
-}
-
-func status(res *http.Response) error {
-	switch res.StatusCode {
-	case http.StatusOK, http.StatusCreated:
-		return nil
-	case http.StatusNotModified:
-		return ErrUnchanged
-	case http.StatusNotFound:
-		return ErrNotFound
-	case http.StatusPreconditionFailed:
-		return ErrConflict
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnauthorized, http.StatusForbidden:
-		return eris.Wrap(ErrRejected, res.Status)
-	default:
-		return eris.Errorf("platform answered %s", res.Status)
+		return 0, err
 	}
+	return model.Version(obj.Revision), nil
 }
 
-func etag(v model.Version) string {
-	return strconv.Quote(strconv.FormatUint(uint64(v), 10))
-}
-
-func version(res *http.Response) (model.Version, error) {
-	text, err := strconv.Unquote(res.Header.Get("ETag"))
-	if err != nil {
-		return 0, eris.New("platform gave no version")
+// decode returns an object whose body lies in the store as one text.
+func decode(obj platform.Object) (Object, error) {
+	var body string
+	if err := json.Unmarshal(obj.Spec, &body); err != nil {
+		return Object{}, eris.Wrap(err, "body is not a text")
 	}
-	v, err := strconv.ParseUint(text, 10, 64)
-	return model.Version(v), err
+	return Object{Version: model.Version(obj.Revision), Body: []byte(body)}, nil
 }
 
 func annotate(err *error, format string, args ...any) {
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -272,9 +272,8 @@
 		r.engine.Roster().Distrust(now.Add(k.Unsure))
 		if newer {
 			r.install(now, &k)
-		} else {
-			r.engine.Roster().Confirm(now)
 		}
+		r.engine.Roster().Confirm(now, arrived.Add(-k.Age))
 		if first {
 			r.engine.SetReady()
 			r.serving.Store(true)
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// probeTimeout is above ten times the round trip between failure domains of one region.
-	probeTimeout = 100 * time.Millisecond
+	// probeTimeout is far above the round trip within one region (3 ms) and leaves room for a queue on a slow link.
+	probeTimeout = 150 * time.Millisecond
 	// stallLimit is how late a timer of this process may fire before it must have stood still.
 	stallLimit = 25 * time.Millisecond
 )
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -61,7 +61,7 @@
 	log := r.recorder.log.With("kind", kind).With("flow", a.Flow.Caller).With("service", a.Flow.Service).
 		With("revision", revision).With("ageMs", now.Sub(confirmed).Milliseconds())
 	if a.Reason != model.ReasonNone {
-		log = log.With("reason", a.Reason)
+		log = log.With("reason", a.Reason.String())
 	}
 	if a.Tag != 0 {
 		log = log.With("tag", a.Tag)
@@ -79,7 +79,7 @@
 // withUpstream adds what tells one start of an upstream from all others.
 func withUpstream(log logs.Part, u *roster.Upstream) logs.Part {
 	return log.With("upstream", u.ID).With("boot", u.Boot).With("upstreamTag", u.Tag).With("domain", u.Domain).
-		With("state", u.State).With("entryRevision", u.Revision)
+		With("state", u.State.String()).With("entryRevision", u.Revision)
 }
 
 // summarise logs what the budgets left out.
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -218,7 +218,7 @@
 			err = eris.Wrapf(err, "run instance %s", r.cfg.Instance)
 		}
 	}()
-	r.part("relay").With("instance", r.cfg.Instance).With("domain", r.cfg.Domain).Info("Instance starts.")
+	r.part("relay").With("domain", r.cfg.Domain).Info("Instance starts.")
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, work := errgroup.WithContext(work)
@@ -246,7 +246,7 @@
 }
 
 func (r *Relay) part(name string) logs.Part {
-	return logs.NewPart(r.log, name)
+	return logs.NewPart(r.log, name).With("instance", r.cfg.Instance)
 }
 
 func (r *Relay) now() model.Instant {
