Find dead upstreams and cut domains sooner, and let waiting callers go at once

Ruled out: the probes' outcome. Change: resets go out as soon as the second probe fails; first probes wait 50 ms; data is a repeat only 150 ms after the first; one failed probe in a silent domain has all of it probed. Each finding has a test that failed first.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -65,6 +65,8 @@
 	Choices int
 	// Tag is the one that the caller's packet carried.
 	Tag model.RoutingTag
+	// Wait is how long the probe may take; it is set for VerbProbe.
+	Wait time.Duration
 	// Raw is the packet to forward.
 	Raw []byte
 	// Position is what the caller last acknowledged; it is set for VerbReset.
@@ -128,6 +130,8 @@
 	actions []Action
 	notes   []Note
 	samples []Sample
+	// released is reused from one release to the next.
+	released []model.FlowKey
 	// candidates is reused from one choice to the next.
 	candidates []place.Candidate[*roster.Upstream]
 }
--- a/internal/core/direct/engine_test.go
+++ b/internal/core/direct/engine_test.go
@@ -248,6 +248,29 @@
 			d.Equal(d.data(2, feedAddress, up.Tag).Verb, model.VerbForward)
 			d.Equal(d.data(1, feedAddress, up.Tag).Verb, model.VerbReset)
 		},
+		"a flow that waits is reset as soon as its upstream is found unreachable, without another packet": func(d *desk) {
+			up := d.syn(1, feedAddress, 0).Upstream
+			d.now = d.now.Add(7 * time.Millisecond)
+			d.data(1, feedAddress, up.Tag)
+			d.data(2, feedAddress, up.Tag)
+			d.data(3, orderAddress, up.Tag)
+			d.now = d.now.Add(200 * time.Millisecond)
+			d.data(1, feedAddress, up.Tag)
+			d.data(3, orderAddress, up.Tag)
+			var out []direct.Action
+			for range 2 {
+				up.Health.Probe(d.now)
+				d.now = d.now.Add(100 * time.Millisecond)
+				for _, a := range d.e.Probed(d.now, up, health.OutcomeFailed) {
+					if a.Verb != model.VerbProbe {
+						out = append(out, a)
+					}
+				}
+			}
+			d.Equal(len(out), 1)
+			d.Equal(out[0].Verb, model.VerbReset)
+			d.Equal(out[0].Flow, flowOf(1, feedAddress))
+		},
 		"a flow that runs at most once is left to an unreachable upstream, which may have run it": func(d *desk) {
 			up := d.e.Roster().Of("desk")[0]
 			d.silence(up)
@@ -262,6 +285,19 @@
 			d.e.Probed(d.now, d.e.Roster().Of("desk")[0], health.OutcomeAnswered)
 			d.True(!d.e.Isolated())
 		},
+		"packets that overtake each other blame nobody": func(d *desk) {
+			up := d.syn(1, orderAddress, 0).Upstream
+			d.now = d.now.Add(7 * time.Millisecond)
+			seg := model.Segment{Flow: flowOf(1, orderAddress), Answers: true, Tag: up.Tag, Position: 1300, Received: 1, Size: 1200}
+			d.send(seg)
+			d.now = d.now.Add(time.Millisecond)
+			seg.Position = 100
+			d.send(seg)
+			d.Equal(up.Health.Misses(), 0)
+			d.now = d.now.Add(200 * time.Millisecond)
+			d.send(seg)
+			d.Equal(up.Health.Misses(), 1)
+		},
 		"a port that is used again belongs to a new flow": func(d *desk) {
 			first := d.syn(1, feedAddress, 0)
 			d.now = d.now.Add(7 * time.Millisecond)
@@ -277,6 +313,35 @@
 	}
 }
 
+// TestDoubt checks that one failed probe in a silent failure domain has all of it probed, and in a busy one nobody else.
+func TestDoubt(t *testing.T) {
+	cases := map[string]struct {
+		silent time.Duration
+		probes int
+	}{
+		"a domain that was heard of just now": {silent: 10 * time.Millisecond},
+		"a domain that has been silent":       {silent: time.Second, probes: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, three()...)
+			ups := d.e.Roster().Of("desk")
+			d.e.Probed(d.now, ups[1], health.OutcomeAnswered)
+			d.now = d.now.Add(tc.silent)
+			ups[0].Health.Miss(d.now)
+			ups[0].Health.Probe(d.now)
+			probes := 0
+			for _, a := range d.e.Probed(d.now, ups[0], health.OutcomeFailed) {
+				if a.Verb == model.VerbProbe {
+					d.Equal(a.Upstream, ups[1])
+					probes++
+				}
+			}
+			d.Equal(probes, tc.probes)
+		})
+	}
+}
+
 // TestNotReady checks that nothing is decided before anything is known.
 func TestNotReady(t *testing.T) {
 	d := &desk{I: is.New(t), e: direct.New(direct.Config{Seed: 1}), now: 1}
--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"time"
+
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
@@ -87,7 +89,10 @@
 	return false
 }
 
+// repeatAfter is below the time after which callers repeat data (200 ms); what comes sooner was overtaken on its way.
+const repeatAfter = 150 * time.Millisecond
+
 // waits reports whether the packet repeats data that got no answer; a flow that was not seen before is taken not to wait.
-func (f *flow) waits(seg *model.Segment) bool {
-	return f != nil && f.open && f.asked != 0 && !after(seg.Position+uint32(seg.Size), f.position)
+func (f *flow) waits(now model.Instant, seg *model.Segment) bool {
+	return f != nil && f.open && f.asked != 0 && seg.Size > 0 && !after(seg.Position+uint32(seg.Size), f.position) && now.Sub(f.asked) >= repeatAfter
 }
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -41,7 +41,7 @@
 		e.ended(seg, f, up, model.ReasonUpstreamGone)
 		return
 	}
-	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable(f.waits(seg)) && !e.cfg.Without.Resets {
+	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable(f.waits(now, seg)) && !e.cfg.Without.Resets {
 		// The caller may repeat its request, and a new flow finds an upstream that can be reached.
 		e.ended(seg, f, up, model.ReasonUpstreamUnreachable)
 		return
@@ -143,7 +143,7 @@
 		if f.ahead++; f.ahead > windowPackets {
 			e.progress(now, f)
 		}
-	case seg.Size > 0 && f.asked != 0 && !f.missed:
+	case f.waits(now, seg) && !f.missed:
 		f.missed = true
 		e.miss(now, f.up, f.asked)
 	}
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -6,7 +6,7 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-// probesAtOnce bounds the probes under way; with a timeout of 100 ms that is 80 connections a second at most.
+// probesAtOnce bounds the probes under way; with a wait of 50 ms that is 160 connections a second at most.
 const probesAtOnce = 8
 
 // reachable reports whether new flows may go to the upstream as far as this instance sees.
@@ -71,12 +71,42 @@
 func (e *Engine) probe(now model.Instant, u *roster.Upstream) {
 	if u.State != roster.StateGone && e.probing < probesAtOnce && u.Health.Probe(now) {
 		e.probing++
-		e.actions = append(e.actions, Action{Verb: model.VerbProbe, Upstream: u})
+		e.actions = append(e.actions, Action{Verb: model.VerbProbe, Upstream: u, Wait: u.Health.ProbeWait()})
 	}
 }
 
-// Probed takes the outcome of a probe.
-func (e *Engine) Probed(now model.Instant, u *roster.Upstream, outcome health.Outcome) {
+// Probed takes the outcome of a probe; the actions are valid until the next call.
+func (e *Engine) Probed(now model.Instant, u *roster.Upstream, outcome health.Outcome) []Action {
+	e.actions = e.actions[:0]
+	e.judge(now, u, outcome)
+	if outcome == health.OutcomeFailed && u.Health.Unreachable(true) {
+		e.release(u)
+	}
+	return e.actions
+}
+
+// release resets the idempotent flows that wait for an upstream which cannot be reached: their next repeat may come after
+// their caller's deadline.
+func (e *Engine) release(u *roster.Upstream) {
+	if e.cfg.Without.Resets {
+		return
+	}
+	e.flows.Each(func(key model.FlowKey, f *flow) bool {
+		r := e.routes[key.Service]
+		if f.up == u && f.open && f.missed && f.asked != 0 && r != nil && r.Kind == model.RouteIdempotent {
+			e.released = append(e.released, key)
+		}
+		return true
+	})
+	for _, key := range e.released {
+		f := e.flows.Peek(key)
+		e.ended(&model.Segment{Flow: key, Received: f.received}, f, u, model.ReasonUpstreamUnreachable)
+	}
+	e.released = e.released[:0]
+}
+
+// judge counts the outcome of a probe.
+func (e *Engine) judge(now model.Instant, u *roster.Upstream, outcome health.Outcome) {
 	was := u.Health.Barred()
 	u.Health.Probed(now, outcome)
 	e.probing--
@@ -90,18 +120,25 @@
 	if !was && u.Health.Barred() {
 		e.note(Note{Kind: NoteBarred, Upstream: u})
 	}
-	if outcome == health.OutcomeFailed && u.Health.Barred() && e.domain(u.Domain).Failed(now, u.ID) {
-		e.domainCut(now, u.Domain)
+	if outcome != health.OutcomeFailed || !u.Health.Barred() {
+		return
+	}
+	d := e.domain(u.Domain)
+	if d.Failed(now, u.ID) {
+		e.note(Note{Kind: NoteDomainCut, Domain: u.Domain})
+	}
+	if d.Doubtful(now) {
+		e.doubt(now, u.Domain)
 	}
 }
 
-// domainCut takes the path to a failure domain as cut. Each upstream there is then probed for itself, since several
-// that died at once look the same and open flows of the others go on.
-func (e *Engine) domainCut(now model.Instant, id model.DomainID) {
-	e.note(Note{Kind: NoteDomainCut, Domain: id})
+// doubt lets every upstream of a silent failure domain be probed for itself: several that died at once look like a cut,
+// and open flows of the others go on.
+func (e *Engine) doubt(now model.Instant, id model.DomainID) {
 	for _, u := range e.roster.All() {
 		if u.Domain == id {
 			u.Health.Doubt(now)
+			e.probe(now, u)
 		}
 	}
 }
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -12,16 +12,22 @@
 	missLimit = 2
 	// domainLimit is how many upstreams of a failure domain must fail a probe before the path to the domain is taken as cut.
 	domainLimit = 2
-	// domainSilence is how long none of its upstreams may have shown a sign of life by then; some of several that live
-	// would have done so at ten flows a second.
-	domainSilence = 300 * time.Millisecond
+	// domainSilence is how long none of its upstreams may have shown a sign of life by then; all that were not heard of
+	// have been probed meanwhile.
+	domainSilence = 150 * time.Millisecond
+	// siblingSilence is after how long without a sign of life from a domain one failed probe casts doubt on all of it.
+	siblingSilence = 75 * time.Millisecond
 	// likelyLimit is how many probes must fail before a flow that gets no answer itself need not wait longer.
 	likelyLimit = 2
 	// certainLimit is how many must fail before an upstream is certain not to hear this instance, whatever a flow shows:
 	// a full link loses packets and probes alike.
 	certainLimit = 3
 	// firstPause is the time to the second probe of an upstream; a caller repeats data for the second time after 600 ms.
-	firstPause = 100 * time.Millisecond
+	firstPause = 50 * time.Millisecond
+	// probeWait is far above the round trip within one region (3 ms); each failure doubles it, for a queue on a slow link.
+	probeWait = 50 * time.Millisecond
+	// probeWaitLimit is as long as a caller waits before it repeats data.
+	probeWaitLimit = 200 * time.Millisecond
 	// pauseGrowth lengthens the pause after each probe.
 	pauseGrowth = 2
 	// pauseLimit keeps the return of an upstream from going unnoticed; one probe a second is a hundredth of its work.
@@ -65,7 +71,7 @@
 
 // Miss notes that a packet sent at the instant got no answer in time; one sent before the last sign of life says nothing.
 func (t *Track) Miss(sent model.Instant) {
-	if sent <= t.life && t.life > 0 {
+	if sent < t.life {
 		return
 	}
 	if t.misses == 0 || sent < t.since {
@@ -90,6 +96,11 @@
 	return true
 }
 
+// ProbeWait returns how long the probe that begins now may take.
+func (t *Track) ProbeWait() time.Duration {
+	return min(probeWait<<min(t.failed, 2), probeWaitLimit)
+}
+
 // Probed notes the outcome of a probe. One that succeeds proves the path, not that flows are served: if packets still go
 // unanswered after it, the next probe waits longer.
 func (t *Track) Probed(now model.Instant, outcome Outcome) {
@@ -166,6 +177,11 @@
 	return true
 }
 
+// Doubtful reports whether the domain was silent for so long that one failed probe concerns all of it.
+func (d *Domain) Doubtful(now model.Instant) bool {
+	return now.Sub(d.life) >= siblingSilence
+}
+
 // Cut reports whether the path to the whole domain is taken as cut.
 func (d *Domain) Cut() bool {
 	return d.cut
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -103,7 +103,7 @@
 			r.datagram = r.cfg.Codec.AppendReset(r.datagram[:0], a.Flow, a.Position)
 			r.send(netip.AddrPortFrom(a.Flow.Caller.Addr(), r.cfg.Packets.Port()))
 		case model.VerbProbe:
-			r.probe(ctx, a.Upstream)
+			r.probe(ctx, a.Upstream, a.Wait)
 		default:
 			if a.Reason == model.ReasonTagUnknown {
 				r.askEarly()
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -12,19 +12,15 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-const (
-	// probeTimeout is far above the round trip within one region (3 ms) and leaves room for a queue on a slow link.
-	probeTimeout = 150 * time.Millisecond
-	// stallLimit is how late a timer of this process may fire before it must have stood still.
-	stallLimit = 25 * time.Millisecond
-)
+// stallLimit is how late a timer of this process may fire before it must have stood still.
+const stallLimit = 25 * time.Millisecond
 
 // probe opens a connection to an upstream and closes it: that occupies none of its slots.
-func (r *Relay) probe(ctx context.Context, u *roster.Upstream) {
+func (r *Relay) probe(ctx context.Context, u *roster.Upstream, wait time.Duration) {
 	address := u.Address.String()
 	go func() {
 		start := r.now()
-		dialer := net.Dialer{Timeout: probeTimeout}
+		dialer := net.Dialer{Timeout: wait}
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		outcome := health.OutcomeAnswered
 		switch {
@@ -32,11 +28,11 @@
 			_ = conn.Close()
 		case errors.Is(err, syscall.ECONNREFUSED):
 			outcome = health.OutcomeFailed
-		case model.Instant(r.stalled.Load()) >= start || r.now().Sub(start) > probeTimeout+stallLimit:
+		case model.Instant(r.stalled.Load()) >= start || r.now().Sub(start) > wait+stallLimit:
 			outcome = health.OutcomeUnknown
 		default:
 			outcome = health.OutcomeFailed
 		}
-		r.do(ctx, func(now model.Instant) { r.engine.Probed(now, u, outcome) })
+		r.do(ctx, func(now model.Instant) { r.act(ctx, now, r.engine.Probed(now, u, outcome)) })
 	}()
 }
