Place packets that arrive before an instance is ready

Cause: after a loss of all power, 15 to 46 packets a site met instances whose first reads of the platform (20 to 60 ms) were under way; they were dropped and came again after 200 ms. Ruled out: the start itself (23 ms at 0.4 cores, 45 ms at 0.088). Change: up to 512 packets wait for at most 200 ms.

--- a/internal/bench/replay/instance.go
+++ b/internal/bench/replay/instance.go
@@ -53,7 +53,7 @@
 		})
 		in.engine.SetRoutes(routes())
 		in.install()
-		in.engine.SetReady()
+		in.engine.SetReady(in.now())
 		in.schedule(in.w.now)
 	})
 }
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -126,7 +126,9 @@
 	// probing counts the probes under way; at most probesAtOnce.
 	probing int
 	// ready is set once routes, upstreams and failure domains are known.
-	ready   bool
+	ready bool
+	// early holds packets until the engine is ready; at most earlyLimit.
+	early   []earlyPacket
 	actions []Action
 	notes   []Note
 	samples []Sample
@@ -170,9 +172,33 @@
 	return e.roster
 }
 
-// SetReady lets the engine decide on packets; until then it keeps none.
-func (e *Engine) SetReady() {
+// SetReady lets the engine decide on packets, those that arrived before included; the actions are valid until the next call.
+func (e *Engine) SetReady(now model.Instant) []Action {
+	e.actions = e.actions[:0]
+	if e.ready {
+		return nil
+	}
 	e.ready = true
+	for i := range e.early {
+		if early := &e.early[i]; now.Sub(early.at) <= earlyLife {
+			e.decide(now, &early.seg)
+		}
+	}
+	e.early = nil
+	return e.actions
+}
+
+const (
+	// earlyLimit bounds the packets that wait for an instance to be ready; more would take it longer than their callers wait.
+	earlyLimit = 512
+	// earlyLife is how long they wait: callers repeat an opening packet after 200 ms, and then this one is of no use.
+	earlyLife = 200 * time.Millisecond
+)
+
+// earlyPacket is one that arrived before the instance was ready.
+type earlyPacket struct {
+	at  model.Instant
+	seg model.Segment
 }
 
 // Ready reports whether the engine decides on packets.
--- a/internal/core/direct/engine_test.go
+++ b/internal/core/direct/engine_test.go
@@ -32,7 +32,7 @@
 	d := &desk{I: is.New(t), e: direct.New(direct.Config{Domain: "east", Seed: 1, FlowLife: time.Minute}), now: model.Instant(time.Minute)}
 	d.True(d.e.SetRoutes(table(1)))
 	d.list(items...)
-	d.e.SetReady()
+	d.e.SetReady(d.now)
 	return d
 }
 
@@ -342,10 +342,28 @@
 	}
 }
 
-// TestNotReady checks that nothing is decided before anything is known.
-func TestNotReady(t *testing.T) {
-	d := &desk{I: is.New(t), e: direct.New(direct.Config{Seed: 1}), now: 1}
-	d.Equal(d.syn(1, feedAddress, 0).Reason, model.ReasonNotReady)
+// TestEarly replays the crowd of callers that meets an instance whose first reads of the platform are under way.
+func TestEarly(t *testing.T) {
+	d := &desk{I: is.New(t), e: direct.New(direct.Config{Domain: "east", Seed: 1, FlowLife: time.Minute}), now: model.Instant(time.Minute)}
+	send := func(port uint16) []direct.Action {
+		return d.e.Packet(d.now, &model.Segment{Flow: flowOf(port, feedAddress), Open: true, Raw: []byte{1}})
+	}
+	d.Equal(len(send(1)), 0)
+	d.now = d.now.Add(100 * time.Millisecond)
+	for port := uint16(2); port <= 512; port++ {
+		d.Equal(len(send(port)), 0)
+	}
+	d.Equal(send(513)[0].Reason, model.ReasonNotReady)
+	d.now = d.now.Add(101 * time.Millisecond)
+	d.True(d.e.SetRoutes(table(1)))
+	d.list(three()...)
+	placed := d.e.SetReady(d.now)
+	d.Equal(len(placed), 511)
+	for _, a := range placed {
+		d.Equal(a.Verb, model.VerbForward)
+		d.True(a.Flow != flowOf(1, feedAddress))
+	}
+	d.Equal(len(d.e.SetReady(d.now)), 0)
 }
 
 // TestLoad checks that what counts against an upstream is taken back, however a flow ends.
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -14,16 +14,24 @@
 func (e *Engine) Packet(now model.Instant, seg *model.Segment) []Action {
 	e.actions = e.actions[:0]
 	switch {
-	case !e.ready:
-		e.drop(seg, nil, model.ReasonNotReady)
-	case seg.Open:
-		e.open(now, seg)
+	case e.ready:
+		e.decide(now, seg)
+	case len(e.early) < earlyLimit:
+		e.early = append(e.early, earlyPacket{at: now, seg: *seg})
 	default:
-		e.relay(now, seg)
+		e.drop(seg, nil, model.ReasonNotReady)
 	}
 	return e.actions
 }
 
+func (e *Engine) decide(now model.Instant, seg *model.Segment) {
+	if seg.Open {
+		e.open(now, seg)
+		return
+	}
+	e.relay(now, seg)
+}
+
 // relay decides on a packet of a flow that its caller believes open.
 func (e *Engine) relay(now model.Instant, seg *model.Segment) {
 	r := e.routes[seg.Flow.Service]
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -275,7 +275,7 @@
 		}
 		r.engine.Roster().Confirm(now, arrived.Add(-k.Age))
 		if first {
-			r.engine.SetReady()
+			r.act(ctx, now, r.engine.SetReady(now))
 			r.serving.Store(true)
 			r.part("relay").With("upstreams", r.engine.Roster().Len()).With("revision", k.Revision).Info("Instance is ready.")
 		}
