Send only what changed to those that follow a reader, and let fast links read

Two instances of 69 logged 401 and 313 upstreams as silent, the others about 50. Ruled out: the configuration change nearby (no flow was reset for a route), the registry, the processor (no late timers). Change: replies hold what has changed since the caller's revision; a vacant seat is left for up to 0.6 s to instances with faster links (settings tell them).

--- a/internal/core/fresh/keeper.go
+++ b/internal/core/fresh/keeper.go
@@ -1,6 +1,7 @@
 package fresh
 
 import (
+	"math"
 	"time"
 
 	"hawthorncourse/internal/core/model"
@@ -31,6 +32,10 @@
 	readerSlack = 400 * time.Millisecond
 	// ageIntervals is how many intervals old a reader's own knowledge may be before others look for themselves.
 	ageIntervals = 2
+	// slowestClaim is how long the instance with the slowest link leaves a vacant seat to others.
+	slowestClaim = 600 * time.Millisecond
+	// fastestLink is the link, in Mbit/s, from which on an instance claims at once.
+	fastestLink = 1000.0
 	// claimPause separates two attempts to take a seat that failed without an answer.
 	claimPause = time.Second
 )
@@ -50,13 +55,33 @@
 	look bool
 	// claimed is when the seat was last claimed without an answer.
 	claimed model.Instant
+	// delay is how long a vacant seat is left to others, and vacantSince when it was found vacant; zero while it is not.
+	delay       time.Duration
+	vacantSince model.Instant
 	// next is when the next step is due.
 	next model.Instant
 }
 
-// NewKeeper returns the keeper of the instance, for changes that must be in force within the bound.
-func NewKeeper(self model.InstanceID, bound time.Duration) *Keeper {
-	return &Keeper{self: self, pace: Pace{Bound: bound}}
+// KeeperConfig is what a Keeper is built from.
+type KeeperConfig struct {
+	// Self is this instance.
+	Self model.InstanceID
+	// Bound is the time in which changes must be in force.
+	Bound time.Duration
+	// Link is the speed of the instance's own link in Mbit/s; the fastest should read for the others.
+	Link float64
+}
+
+// NewKeeper returns the keeper of an instance.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	return &Keeper{self: cfg.Self, pace: Pace{Bound: cfg.Bound}, delay: claimDelay(cfg.Link)}
+}
+
+// claimDelay returns how long an instance leaves a vacant seat to faster ones: what the reader tells goes to all others of
+// the failure domain over its own link.
+func claimDelay(link float64) time.Duration {
+	slowness := 1 - math.Log10(min(max(link, 1), fastestLink))/math.Log10(fastestLink)
+	return time.Duration(slowness * float64(slowestClaim))
 }
 
 // Next returns the next step and how long to wait before it.
@@ -69,6 +94,9 @@
 		if k.claimed != 0 && now.Sub(k.claimed) < claimPause {
 			return StepStore, wait
 		}
+		if left := k.vacantSince.Add(k.delay).Sub(now); k.delay > 0 && left > 0 {
+			return StepStore, left
+		}
 		return StepClaim, 0
 	default:
 		return StepReader, wait
@@ -109,6 +137,12 @@
 		return
 	}
 	k.seat, k.read, k.look = seat, true, false
+	switch {
+	case !k.vacant():
+		k.vacantSince = 0
+	case k.vacantSince == 0:
+		k.vacantSince = max(now, 1)
+	}
 }
 
 // ReaderTold takes the outcome of a question to the reader; age is that of what it knows.
@@ -128,5 +162,5 @@
 		k.next = now.Add(retryPause)
 		return
 	}
-	k.seat, k.claimed = seat, 0
+	k.seat, k.claimed, k.vacantSince = seat, 0, 0
 }
--- a/internal/core/fresh/keeper_test.go
+++ b/internal/core/fresh/keeper_test.go
@@ -98,7 +98,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			k := fresh.NewKeeper("a", bound)
+			k := fresh.NewKeeper(fresh.KeeperConfig{Self: "a", Bound: bound, Link: 1000})
 			tc.play(k)
 			step, wait := k.Next(0)
 			is.Equal(step, tc.want)
@@ -121,7 +121,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			const tick = 10 * time.Millisecond
-			k := fresh.NewKeeper("a", bound)
+			k := fresh.NewKeeper(fresh.KeeperConfig{Self: "a", Bound: bound, Link: 1000})
 			confirmed, told := model.Instant(0), model.Instant(0)
 			worst := time.Duration(0)
 			seat := theirs
@@ -188,3 +188,40 @@
 	p.Done(true, 0)
 	is.Equal(p.Timeout(), 600*time.Millisecond)
 }
+
+// TestClaimOrder checks that a vacant seat goes to the instance with the fastest link, and that slower ones look before they claim.
+func TestClaimOrder(t *testing.T) {
+	cases := map[string]struct {
+		link float64
+		want time.Duration
+	}{
+		"the fastest":      {link: 1000},
+		"faster than that": {link: 10_000},
+		"a medium one":     {link: 100, want: 200 * time.Millisecond},
+		"a slow one":       {link: 10, want: 400 * time.Millisecond},
+		"one without word": {link: 0, want: 600 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := fresh.NewKeeper(fresh.KeeperConfig{Self: "a", Bound: bound, Link: tc.link})
+			now := model.Instant(time.Minute)
+			k.StoreRead(now, now, empty, true)
+			step, wait := k.Next(now)
+			if tc.want == 0 {
+				is.Equal(step, fresh.StepClaim)
+				return
+			}
+			is.Equal(step, fresh.StepStore)
+			is.True(wait > tc.want-time.Millisecond && wait < tc.want+time.Millisecond)
+			now = now.Add(wait)
+			k.StoreRead(now, now, theirs, true)
+			step, _ = k.Next(now.Add(time.Second))
+			is.Equal(step, fresh.StepReader)
+			k.StoreRead(now, now, empty, true)
+			now = now.Add(time.Second)
+			step, _ = k.Next(now)
+			is.Equal(step, fresh.StepClaim)
+		})
+	}
+}
--- a/internal/oper/shell/relay.go
+++ b/internal/oper/shell/relay.go
@@ -83,6 +83,7 @@
 		DomainsOut: platform.DomainsOut(client),
 		ChangeBy:   min(s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Evacuate),
 		StopWithin: s.Bounds.Stop,
+		LinkMbps:   s.LinkMbps,
 		FlowLife:   s.Bounds.FlowLife,
 		ColdFactor: s.Bounds.ColdFactor,
 		ColdSlack:  s.Bounds.ColdSlack,
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -40,6 +40,8 @@
 	confirmed time.Time
 	// unsure is until when a missing upstream proves nothing.
 	unsure time.Time
+	// steps holds what vanished at each of the last publications, the oldest first; at most stepsKept.
+	steps []step
 	// told is closed and replaced at each confirmation.
 	told chan struct{}
 }
@@ -64,28 +66,31 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if k.Revision > s.latest.Revision && s.latest.Revision != 0 {
+		s.steps = append(s.steps, newStep(&s.latest, &k))
+		s.steps = s.steps[max(len(s.steps)-stepsKept, 0):]
+	}
 	s.latest, s.confirmed, s.unsure = k, now.Add(-k.Age), now.Add(k.Unsure)
 	close(s.told)
 	s.told = make(chan struct{})
 }
 
-// Next asks a peer for its next word; have is the revision that needs no repeating. Whole tells whether the parts came along.
-func (s *Share) Next(ctx context.Context, peer netip.AddrPort, have model.Revision, wait time.Duration) (k model.Knowledge, whole bool, err error) {
+// Next asks a peer for its next word and returns what is known with it; have is what the caller knows.
+func (s *Share) Next(ctx context.Context, peer netip.AddrPort, have model.Knowledge, wait time.Duration) (k model.Knowledge, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrapf(err, "ask %s", peer)
 		}
 	}()
 	var reply NextReply
-	args := NextArgs{Have: uint64(have), Wait: int64(wait)}
+	args := NextArgs{Have: uint64(have.Revision), Wait: int64(wait)}
 	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+callMargin); err != nil {
-		return k, false, err
+		return k, err
 	}
 	if reply.Revision == 0 {
-		return k, false, ErrNothing
+		return k, ErrNothing
 	}
-	k, err = fromWire(&reply)
-	return k, reply.Whole, err
+	return merge(have, &reply)
 }
 
 // calls holds the methods that peers call.
@@ -117,6 +122,35 @@
 	now := time.Now()
 	k := s.latest
 	k.Age, k.Unsure = now.Sub(s.confirmed), max(s.unsure.Sub(now), 0)
-	*reply = toWire(&k, uint64(k.Revision) != args.Have)
+	s.answer(&k, model.Revision(args.Have), reply)
 	return nil
 }
+
+// answer fills a reply with what the caller lacks; s.mu is held.
+func (s *Share) answer(k *model.Knowledge, have model.Revision, reply *NextReply) {
+	gone, ok := s.since(have)
+	switch {
+	case have == k.Revision:
+		*reply = toWire(k, scopeNothing, have, nil)
+	case ok:
+		*reply = toWire(k, scopeChanges, have, gone.changed)
+		reply.GoneUpstreams, reply.GoneRoutes = gone.upstreams, gone.routes
+	default:
+		*reply = toWire(k, scopeAll, have, nil)
+	}
+}
+
+// since returns what vanished after a revision; ok is false when that is not known any more. s.mu is held.
+func (s *Share) since(have model.Revision) (all step, ok bool) {
+	for _, st := range s.steps {
+		if st.from == have {
+			ok = true
+		}
+		if ok {
+			all.upstreams = append(all.upstreams, st.upstreams...)
+			all.routes = append(all.routes, st.routes...)
+			all.changed = append(all.changed, st.changed...)
+		}
+	}
+	return all, ok
+}
--- /dev/null
+++ b/internal/peer/share/step.go
@@ -0,0 +1,103 @@
+package share
+
+import (
+	"slices"
+
+	"hawthorncourse/internal/core/model"
+)
+
+// stepsKept is how many changes back a caller may be to get only what has changed: half a minute of one change a second.
+const stepsKept = 32
+
+// step is what one publication changed beside registrations, which carry the revision of their own change.
+type step struct {
+	// from is the revision before the step.
+	from model.Revision
+	// upstreams and routes hold what vanished, by name.
+	upstreams, routes []string
+	// changed holds the routes that are new or different, by name.
+	changed []string
+}
+
+// newStep compares two states of knowledge.
+func newStep(from, to *model.Knowledge) step {
+	s := step{from: from.Revision}
+	present := make(map[model.UpstreamID]bool, len(to.Upstreams.Items))
+	for i := range to.Upstreams.Items {
+		present[to.Upstreams.Items[i].ID] = true
+	}
+	for i := range from.Upstreams.Items {
+		if id := from.Upstreams.Items[i].ID; !present[id] {
+			s.upstreams = append(s.upstreams, string(id))
+		}
+	}
+	if from.Routes.Revision == to.Routes.Revision {
+		return s
+	}
+	old := make(map[string]*model.Route, len(from.Routes.Routes))
+	for i := range from.Routes.Routes {
+		old[from.Routes.Routes[i].Name] = &from.Routes.Routes[i]
+	}
+	for i := range to.Routes.Routes {
+		r := &to.Routes.Routes[i]
+		if was := old[r.Name]; was == nil || !sameRoute(was, r) {
+			s.changed = append(s.changed, r.Name)
+		}
+		delete(old, r.Name)
+	}
+	for name := range old {
+		s.routes = append(s.routes, name)
+	}
+	return s
+}
+
+func sameRoute(a, b *model.Route) bool {
+	return a.Address == b.Address && a.Kind == b.Kind && a.Timeout == b.Timeout && slices.Equal(a.Targets, b.Targets)
+}
+
+// merge returns what is known after a reply to a caller that knew have.
+func merge(have model.Knowledge, reply *NextReply) (k model.Knowledge, err error) {
+	told, err := fromWire(reply)
+	if err != nil || reply.Scope == scopeAll {
+		return told, err
+	}
+	k = have
+	k.Age, k.Unsure = told.Age, told.Unsure
+	if reply.Scope == scopeNothing {
+		return k, nil
+	}
+	k.Revision, k.Out = told.Revision, told.Out
+	k.Upstreams = model.Listing[model.Registration]{
+		Items:      mergeByName(have.Upstreams.Items, told.Upstreams.Items, reply.GoneUpstreams, func(r *model.Registration) string { return string(r.ID) }),
+		Unreadable: told.Upstreams.Unreadable,
+		Revision:   told.Upstreams.Revision,
+	}
+	k.Routes = told.Routes
+	k.Routes.Routes = mergeByName(have.Routes.Routes, told.Routes.Routes, reply.GoneRoutes, func(r *model.Route) string { return r.Name })
+	return k, nil
+}
+
+// mergeByName returns the items of have without those that are gone, with changed ones in their place and new ones behind.
+func mergeByName[T any](have, changed []T, gone []string, name func(*T) string) []T {
+	next := make(map[string]*T, len(changed))
+	for i := range changed {
+		next[name(&changed[i])] = &changed[i]
+	}
+	out := make([]T, 0, len(have)+len(changed))
+	for i := range have {
+		id := name(&have[i])
+		switch item := next[id]; {
+		case item != nil:
+			out = append(out, *item)
+			delete(next, id)
+		case !slices.Contains(gone, id):
+			out = append(out, have[i])
+		}
+	}
+	for i := range changed {
+		if next[name(&changed[i])] != nil {
+			out = append(out, changed[i])
+		}
+	}
+	return out
+}
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -15,17 +15,32 @@
 	Wait int64
 }
 
-// NextReply is what a peer knows; without Whole, only that Revision is still the newest.
+// scope is how much of a peer's knowledge a reply holds.
+type scope uint8
+
+const (
+	// scopeNothing says that what the caller has is still the newest.
+	scopeNothing scope = iota + 1
+	// scopeChanges holds what has changed since.
+	scopeChanges
+	// scopeAll holds everything.
+	scopeAll
+)
+
+// NextReply is what a peer knows, as far as the caller lacks it; Age and Unsure are in nanoseconds.
 type NextReply struct {
-	Revision   uint64
-	Age        int64
-	Unsure     int64
-	Whole      bool
-	Upstreams  []Upstream
-	Unreadable []string
-	ListedAt   uint64
-	Routes     Routes
-	Out        []string
+	Revision uint64
+	Age      int64
+	Unsure   int64
+	Scope    scope
+	// GoneUpstreams and GoneRoutes hold what vanished, by name.
+	GoneUpstreams []string
+	GoneRoutes    []string
+	Upstreams     []Upstream
+	Unreadable    []string
+	ListedAt      uint64
+	Routes        Routes
+	Out           []string
 }
 
 // Upstream is a registration as sent.
@@ -73,36 +88,50 @@
 	Connections int
 }
 
-func toWire(k *model.Knowledge, whole bool) NextReply {
-	out := NextReply{Revision: uint64(k.Revision), Age: int64(k.Age), Unsure: int64(k.Unsure), Whole: whole}
-	if !whole {
+// toWire returns a reply; changed holds the routes that a reply of changes needs.
+func toWire(k *model.Knowledge, sc scope, have model.Revision, changed []string) NextReply {
+	out := NextReply{Revision: uint64(k.Revision), Age: int64(k.Age), Unsure: int64(k.Unsure), Scope: sc}
+	if sc == scopeNothing {
 		return out
 	}
 	out.Unreadable, out.ListedAt = k.Upstreams.Unreadable, uint64(k.Upstreams.Revision)
-	for _, u := range k.Upstreams.Items {
-		out.Upstreams = append(out.Upstreams, Upstream{
-			ID:       string(u.ID),
-			Revision: uint64(u.Revision),
-			Number:   uint64(u.Number),
-			Service:  string(u.Service),
-			Domain:   string(u.Domain),
-			Address:  u.Address.String(),
-			Boot:     uint64(u.Boot),
-			Slots:    u.Slots,
-			ColdFor:  int64(u.ColdFor),
-			Draining: u.Draining,
-		})
+	for i := range k.Upstreams.Items {
+		if sc == scopeAll || k.Upstreams.Items[i].Revision > have {
+			out.Upstreams = append(out.Upstreams, upstreamToWire(&k.Upstreams.Items[i]))
+		}
+	}
+	wanted := make(map[string]bool, len(changed))
+	for _, name := range changed {
+		wanted[name] = true
 	}
-	out.Routes = routesToWire(&k.Routes)
+	out.Routes = routesToWire(&k.Routes, func(name string) bool { return sc == scopeAll || wanted[name] })
 	for _, d := range k.Out {
 		out.Out = append(out.Out, string(d))
 	}
 	return out
 }
 
-func routesToWire(t *model.RouteTable) Routes {
+func upstreamToWire(u *model.Registration) Upstream {
+	return Upstream{
+		ID:       string(u.ID),
+		Revision: uint64(u.Revision),
+		Number:   uint64(u.Number),
+		Service:  string(u.Service),
+		Domain:   string(u.Domain),
+		Address:  u.Address.String(),
+		Boot:     uint64(u.Boot),
+		Slots:    u.Slots,
+		ColdFor:  int64(u.ColdFor),
+		Draining: u.Draining,
+	}
+}
+
+func routesToWire(t *model.RouteTable, wanted func(name string) bool) Routes {
 	out := Routes{Version: uint64(t.Version), Revision: uint64(t.Revision), FlowIdle: int64(t.FlowIdle)}
 	for _, r := range t.Routes {
+		if !wanted(r.Name) {
+			continue
+		}
 		w := Route{Name: r.Name, Address: r.Address.String(), Kind: uint8(r.Kind), Timeout: int64(r.Timeout)}
 		for _, target := range r.Targets {
 			w.Targets = append(w.Targets, Target{Service: string(target.Service), Weight: target.Weight})
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -25,7 +25,7 @@
 
 // follow is the duty that keeps the engine's knowledge young.
 func (r *Relay) follow(ctx context.Context) error {
-	k := fresh.NewKeeper(r.cfg.Instance, r.cfg.ChangeBy)
+	k := fresh.NewKeeper(fresh.KeeperConfig{Self: r.cfg.Instance, Bound: r.cfg.ChangeBy, Link: r.cfg.LinkMbps})
 	f := &follower{Relay: r, keeper: k}
 	for ctx.Err() == nil {
 		step, wait := k.Next(r.now())
@@ -201,15 +201,10 @@
 
 // ask takes over what another instance knows if it is newer.
 func (r *Relay) ask(ctx context.Context, peer netip.AddrPort, wait time.Duration) (model.Knowledge, error) {
-	have := r.knowledge()
-	k, whole, err := r.share.Next(ctx, peer, have.Revision, wait)
+	k, err := r.share.Next(ctx, peer, r.knowledge(), wait)
 	if err != nil {
 		return k, err
 	}
-	if !whole {
-		have.Age, have.Unsure = k.Age, k.Unsure
-		k = have
-	}
 	r.learn(ctx, k)
 	return k, nil
 }
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -84,6 +84,8 @@
 	ChangeBy time.Duration
 	// StopWithin is the time in which a planned stop must end.
 	StopWithin time.Duration
+	// LinkMbps is the speed of the instance's own link in Mbit/s; zero for unknown.
+	LinkMbps float64
 	// FlowLife is the longest life of a flow.
 	FlowLife time.Duration
 	// ColdFactor multiplies the rate that a cold upstream bears.
