Keep three walks from a failed request to its cause as tests on recorded logs

Cause: the operators' page shows how to explain a failure; nothing showed that it works. Measured: go test ./internal/oper/story.

--- /dev/null
+++ b/internal/oper/story/story_test.go
@@ -0,0 +1,83 @@
+package story_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/oper/story"
+)
+
+// TestWalks tells the three failed requests that docs/OPERATIONS.md walks, from logs of days that were played.
+func TestWalks(t *testing.T) {
+	cases := map[string]struct {
+		log, flow string
+	}{
+		"the upstream died while the request ran": {log: "dead", flow: "100.66.0.26:1069"},
+		"unanswered under a cut":                  {log: "cut", flow: "100.64.0.15:1040"},
+		"refused by an outdated configuration":    {log: "outdated", flow: "100.64.0.4:1163"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log, err := os.Open(filepath.Join("testdata", tc.log+".log"))
+			is.NoErr(err)
+			defer log.Close()
+			entries, err := story.Read(log)
+			is.NoErr(err)
+			s, err := story.Of(entries, tc.flow)
+			is.NoErr(err)
+			var out bytes.Buffer
+			s.Write(&out)
+			want, err := os.ReadFile(filepath.Join("testdata", tc.log+".golden"))
+			is.NoErr(err)
+			is.Equal(out.String(), string(want))
+		})
+	}
+}
+
+// TestRead checks that marks of a collector and lines of other programs do no harm, and that order follows time.
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	log := `noise
+  41.02 east-1 {"time":"2026-01-01T00:00:02Z","instance":"east-1","msg":"flow: A flow is reset.","kind":"reset","flow":"a:1","reason":"upstream_gone","upstream":"u"}
+{"broken
+{"time":"2026-01-01T00:00:01Z","instance":"east-1","msg":"flow: A new flow is placed.","kind":"place","flow":"a:1","upstream":"u"}
+{"time":"2026-01-01T00:00:01.5Z","instance":"east-2","msg":"roster: another instance's line.","upstream":"u"}
+{"time":"2026-01-01T00:00:01.5Z","instance":"east-1","msg":"roster: gone.","upstream":"u","state":"gone"}
+{"time":"none","msg":"no time","flow":"a:1"}
+`
+	entries, err := story.Read(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(len(entries), 4)
+	s, err := story.Of(entries, "a:1")
+	is.NoErr(err)
+	var told []string
+	for _, e := range s.Lines {
+		told = append(told, e.Message)
+	}
+	is.Equal(told, []string{"flow: A new flow is placed.", "roster: gone.", "flow: A flow is reset."})
+	is.True(s.Reason != "")
+	_, err = story.Of(entries, "b:2")
+	is.True(err != nil)
+}
+
+// TestReasons checks that every reason that ends or delays a flow has its sentence.
+func TestReasons(t *testing.T) {
+	for _, reason := range []model.Reason{
+		model.ReasonNoRoute, model.ReasonRouteRemoved, model.ReasonNoUpstream, model.ReasonUpstreamGone, model.ReasonUpstreamUnreachable,
+		model.ReasonHandshakeSilent, model.ReasonCallerRepeats, model.ReasonTagUnknown, model.ReasonTagMissing, model.ReasonNotReady,
+		model.ReasonRetryBudget, model.ReasonFlowLimit,
+	} {
+		entries := []story.Entry{{Instance: "a", Fields: map[string]any{"flow": "a:1", "reason": reason.String()}}}
+		s, err := story.Of(entries, "a:1")
+		if err != nil || s.Reason == "" {
+			t.Errorf("%s has no sentence", reason)
+		}
+	}
+}
