--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -47,6 +47,7 @@
 	ReasonDomainOut
 	ReasonRouteRemoved
 	ReasonKeyAhead
+	ReasonStale
 	reasonCount
 )
 
@@ -93,6 +94,7 @@
 	ReasonDomainOut:           "domain_out",
 	ReasonRouteRemoved:        "route_removed",
 	ReasonKeyAhead:            "key_ahead",
+	ReasonStale:               "stale",
 }
 
 // String returns the name that counters use.
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -155,5 +155,6 @@
 	model.ReasonTagMissing.String():          "The packet named no upstream and the instance had not seen its flow open, so it was dropped.",
 	model.ReasonNotReady.String():            "The instance had just started and knew nothing yet, so the packet was dropped.",
 	model.ReasonRetryBudget.String():         "The upstream did not answer the opening packet, and the budget for further upstreams was spent.",
+	model.ReasonStale.String():               "The instance stood still for a second or more while the packet waited for it, so the packet was dropped.",
 	model.ReasonFlowLimit.String():           "The instance held as many flows as it may, so the new one was reset. Nothing ran.",
 }
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -44,7 +44,7 @@
 func (r *Relay) decide(ctx context.Context) error {
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
-	due := r.now().Add(tickInterval)
+	r.stall.expect(r.now(), tickInterval)
 	for {
 		select {
 		case seg := <-r.arrived.Items():
@@ -57,7 +57,7 @@
 			c(r.now())
 		case <-timer.C:
 			now := r.now()
-			if now.Sub(due) > stallLimit {
+			if r.stall.woke(now) {
 				r.stalled.Store(int64(now))
 			}
 			r.act(ctx, now, r.engine.Tick(now))
@@ -69,7 +69,7 @@
 		}
 		r.report()
 		wait := r.untilTick()
-		due = r.now().Add(wait)
+		r.stall.expect(r.now(), wait)
 		timer.Reset(wait)
 	}
 }
@@ -86,6 +86,10 @@
 func (r *Relay) packet(ctx context.Context, seg *model.Segment) {
 	now := r.now()
 	r.lastPacket.Store(int64(now))
+	if r.stall.stale(now) {
+		r.act(ctx, now, []direct.Action{{Verb: model.VerbDrop, Reason: model.ReasonStale, Flow: seg.Flow, Tag: seg.Tag}})
+		return
+	}
 	r.act(ctx, now, r.engine.Packet(now, seg))
 }
 
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -12,9 +12,6 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-// stallLimit is how late a timer of this process may fire before it must have stood still.
-const stallLimit = 25 * time.Millisecond
-
 // probe opens a connection to an upstream and closes it: that occupies none of its slots.
 func (r *Relay) probe(ctx context.Context, u *roster.Upstream, wait time.Duration) {
 	address := u.Address.String()
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -135,6 +135,8 @@
 	revision  atomic.Uint64
 	confirmed atomic.Int64
 	recorder  recorder
+	// stall is used by the decide duty only.
+	stall *stall
 	// handshakes and answers are the times that the engine measured.
 	handshakes, answers tally.Histogram
 	// datagram is reused by the decide duty.
@@ -161,6 +163,7 @@
 		arrived:  ring.New[model.Segment](packetRing),
 		commands: ring.New[command](commandRing),
 		nudge:    make(chan struct{}, 1),
+		stall:    newStall(bootClock),
 	}
 	r.tally = newTallies(r.counts)
 	r.handshakes, r.answers = r.counts.Latency("handshake"), r.counts.Latency("answer")
