--- /dev/null
+++ b/internal/core/direct/bench_test.go
@@ -0,0 +1,87 @@
+package direct_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/model"
+)
+
+func benchEngine(upstreams int) *direct.Engine {
+	e := direct.New(direct.Config{Domain: "east", Seed: 1, FlowLife: time.Minute})
+	e.SetRoutes(table(1))
+	items := make([]model.Registration, 0, upstreams)
+	for n := range upstreams {
+		u := member(n+1, "east")
+		u.ID = model.UpstreamID(fmt.Sprintf("desk-%x", n+1))
+		items = append(items, u)
+	}
+	e.Roster().Sync(1, model.Listing[model.Registration]{Items: items})
+	e.SetReady(1)
+	return e
+}
+
+// BenchmarkOpen places new flows among few and many upstreams.
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{14, 120, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := benchEngine(n)
+			now := model.Instant(time.Minute)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				seg := model.Segment{Flow: benchFlow(i), Open: true, Raw: []byte{1}}
+				e.Packet(now, &seg)
+				seg = model.Segment{Flow: benchFlow(i), Aborts: true, Answers: true}
+				e.Packet(now, &seg)
+			}
+		})
+	}
+}
+
+// BenchmarkRelay forwards data of an open flow.
+func BenchmarkRelay(b *testing.B) {
+	e := benchEngine(14)
+	now := model.Instant(time.Minute)
+	seg := model.Segment{Flow: benchFlow(1), Answers: true, Tag: e.Roster().Of("desk")[0].Tag, Position: 1, Received: 1, Size: 100, Raw: []byte{1}}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		seg.Position += 100
+		seg.Received += 50
+		e.Packet(now, &seg)
+		e.Samples()
+	}
+}
+
+// BenchmarkMemory holds open flows.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				e := benchEngine(14)
+				tag := e.Roster().Of("desk")[0].Tag
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for i := range n {
+					e.Packet(model.Instant(time.Minute), &model.Segment{Flow: benchFlow(i), Answers: true, Tag: tag, Position: 1, Received: 1, Size: 100, Raw: []byte{1}})
+					e.Samples()
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/flow")
+				runtime.KeepAlive(e)
+			}
+		})
+	}
+}
+
+func benchFlow(i int) model.FlowKey {
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 22), byte(i >> 14)}), uint16(1024+i&0x3fff))
+	return model.FlowKey{Caller: caller, Service: feedAddress}
+}
