--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -40,6 +40,14 @@
 	return Part{log: p.log.WithField(key, value), prefix: p.prefix}
 }
 
+// Fields are the fields of one message, by name.
+type Fields = logrus.Fields
+
+// WithAll returns a log that adds all fields to each message.
+func (p Part) WithAll(fields Fields) Part {
+	return Part{log: p.log.WithFields(fields), prefix: p.prefix}
+}
+
 // Debug logs what only a developer asks for.
 func (p Part) Debug(text string) { p.log.Debug(p.prefix + text) }
 
--- a/internal/core/direct/cold.go
+++ b/internal/core/direct/cold.go
@@ -10,9 +10,9 @@
 const (
 	// coldWindow is longer than the second over which the platform counts, for what was under way before.
 	coldWindow = 1100 * time.Millisecond
-	// coldShare is the number of flows that one instance may send to one cold upstream in a window; with the slack
-	// of five that the platform publishes, five instances may do so at once.
-	coldShare = 1
+	// coldSharers is how many instances may use one cold upstream at once without talk between them: more than a failure
+	// domain of today has, and cold upstreams are used only where no warm one can be reached.
+	coldSharers = 5
 )
 
 // coldLimits counts the new flows that cold upstreams got from this instance.
@@ -25,15 +25,21 @@
 	up *roster.Upstream
 }
 
-// admits reports whether a cold upstream may get one more flow.
-func (c *coldLimits) admits(up *roster.Upstream) bool {
+// coldShare returns how many flows this instance may send to one cold upstream in a window; at least one.
+func (e *Engine) coldShare(service model.ServiceID) int {
+	bearable := e.limits[service].ColdRate*e.cfg.ColdFactor + e.cfg.ColdSlack
+	return max(int(bearable/coldSharers), 1)
+}
+
+// admits reports whether a cold upstream may get one more flow within the share of this instance.
+func (c *coldLimits) admits(up *roster.Upstream, share int) bool {
 	n := 0
 	for _, s := range c.sent {
 		if s.up == up {
 			n++
 		}
 	}
-	return n < coldShare
+	return n < share
 }
 
 // note counts a flow that goes to an upstream; only cold ones matter.
--- a/internal/core/direct/select.go
+++ b/internal/core/direct/select.go
@@ -31,7 +31,7 @@
 		switch {
 		case !e.roster.Usable(u) || f.wasTried(u):
 		case u.Cold(now):
-			if e.cold.admits(u) {
+			if e.cold.admits(u, e.coldShare(service)) {
 				cold = append(cold, u)
 			}
 		case !e.reachable(u):
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -48,6 +48,7 @@
 	ReasonRouteRemoved
 	ReasonKeyAhead
 	ReasonStale
+	ReasonReceiveFailed
 	reasonCount
 )
 
@@ -95,6 +96,7 @@
 	ReasonRouteRemoved:        "route_removed",
 	ReasonKeyAhead:            "key_ahead",
 	ReasonStale:               "stale",
+	ReasonReceiveFailed:       "receive_failed",
 }
 
 // String returns the name that counters use.
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"time"
 
@@ -23,11 +25,16 @@
 	buf := make([]byte, largestDatagram)
 	for {
 		n, _, err := r.packets.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return err
+		case err != nil:
+			// An open socket recovers: what one packet met says nothing of the next.
+			r.tally.drop(model.ReasonReceiveFailed)
+			sleep(ctx, ringPause)
+			continue
 		}
 		seg, err := r.cfg.Codec.Parse(append([]byte(nil), buf[:n]...))
 		if err != nil {
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -57,29 +57,37 @@
 	if kind == "" || !r.recorder.budget.Admit(time.Duration(now), kind) {
 		return
 	}
-	revision, confirmed := model.Revision(r.revision.Load()), model.Instant(r.confirmed.Load())
-	log := r.recorder.log.With("kind", kind).With("flow", a.Flow.Caller).With("service", a.Flow.Service).
-		With("revision", revision).With("ageMs", now.Sub(confirmed).Milliseconds())
+	fields := logs.Fields{
+		"kind": kind, "flow": a.Flow.Caller, "service": a.Flow.Service,
+		"revision": r.revision.Load(), "ageMs": now.Sub(model.Instant(r.confirmed.Load())).Milliseconds(),
+	}
 	if a.Reason != model.ReasonNone {
-		log = log.With("reason", a.Reason.String())
+		fields["reason"] = a.Reason.String()
 	}
 	if a.Tag != 0 {
-		log = log.With("tag", a.Tag)
+		fields["tag"] = a.Tag
 	}
 	if a.Offered > 0 {
-		log = log.With("choices", a.Choices).With("offered", a.Offered)
+		fields["choices"], fields["offered"] = a.Choices, a.Offered
 	}
 	if u := a.Upstream; u != nil {
-		log = withUpstream(log, u).With("misses", u.Health.Misses()).With("silentMs", u.Health.Silent(now).Milliseconds()).
-			With("running", u.Load.Running).With("answerMs", u.Load.AnswerTime().Milliseconds())
+		addUpstream(fields, u)
+		fields["misses"], fields["silentMs"] = u.Health.Misses(), u.Health.Silent(now).Milliseconds()
+		fields["running"], fields["answerMs"] = u.Load.Running, u.Load.AnswerTime().Milliseconds()
 	}
-	log.Info(sentences[kind])
+	r.recorder.log.WithAll(fields).Info(sentences[kind])
+}
+
+// addUpstream adds what tells one start of an upstream from all others.
+func addUpstream(fields logs.Fields, u *roster.Upstream) {
+	fields["upstream"], fields["boot"], fields["upstreamTag"] = u.ID, u.Boot, u.Tag
+	fields["domain"], fields["state"], fields["entryRevision"] = u.Domain, u.State.String(), u.Revision
 }
 
-// withUpstream adds what tells one start of an upstream from all others.
 func withUpstream(log logs.Part, u *roster.Upstream) logs.Part {
-	return log.With("upstream", u.ID).With("boot", u.Boot).With("upstreamTag", u.Tag).With("domain", u.Domain).
-		With("state", u.State.String()).With("entryRevision", u.Revision)
+	fields := logs.Fields{}
+	addUpstream(fields, u)
+	return log.WithAll(fields)
 }
 
 // summarise logs what the budgets left out.
--- a/internal/run/relay/tally.go
+++ b/internal/run/relay/tally.go
@@ -28,7 +28,7 @@
 }
 
 // readerReasons are those that the read and send paths count beside the decide duty.
-var readerReasons = []model.Reason{model.ReasonMalformed, model.ReasonRingFull, model.ReasonSendFailed}
+var readerReasons = []model.Reason{model.ReasonMalformed, model.ReasonRingFull, model.ReasonSendFailed, model.ReasonReceiveFailed}
 
 func newTallies(set *count.Set) *tallies {
 	t := &tallies{set: set, counters: map[tallyKey]tally.Counter{}, dropped: map[model.Reason]tally.Counter{}}
