Remove what the change left unused

Cause: read as a newcomer, five names had no use: Pace.Failures, Engine.Ready, the reason domain_out, a candidate's slots. Change: they are gone; behaviour stays.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -201,11 +201,6 @@
 	seg model.Segment
 }
 
-// Ready reports whether the engine decides on packets.
-func (e *Engine) Ready() bool {
-	return e.ready
-}
-
 // Flows returns how many flows are remembered.
 func (e *Engine) Flows() int {
 	return e.flows.Len()
--- a/internal/core/direct/select.go
+++ b/internal/core/direct/select.go
@@ -68,7 +68,6 @@
 	e.candidates = append(e.candidates, place.Candidate[*roster.Upstream]{
 		Value: u,
 		Load:  &u.Load,
-		Slots: u.Slots,
 		Local: u.Domain == e.cfg.Domain,
 	})
 }
--- a/internal/core/fresh/fresh.go
+++ b/internal/core/fresh/fresh.go
@@ -47,8 +47,3 @@
 	p.failures = 0
 	return max(p.Interval()-took, 0)
 }
-
-// Failures returns how many reads in a row failed.
-func (p *Pace) Failures() int {
-	return p.failures
-}
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -44,7 +44,6 @@
 	ReasonUpstreamUnreachable
 	ReasonHandshakeSilent
 	ReasonCallerRepeats
-	ReasonDomainOut
 	ReasonRouteRemoved
 	ReasonKeyAhead
 	ReasonStale
@@ -92,7 +91,6 @@
 	ReasonUpstreamUnreachable: "upstream_unreachable",
 	ReasonHandshakeSilent:     "handshake_silent",
 	ReasonCallerRepeats:       "caller_repeats",
-	ReasonDomainOut:           "domain_out",
 	ReasonRouteRemoved:        "route_removed",
 	ReasonKeyAhead:            "key_ahead",
 	ReasonStale:               "stale",
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -20,8 +20,6 @@
 type Candidate[T any] struct {
 	Value T
 	Load  *Load
-	// Slots is the number of requests that it works on at once; at least one.
-	Slots int
 	// Local is set for the instance's own failure domain.
 	Local bool
 }
