Report a conflict with a missing or invalid document, and unconfirmed changes on a page with the box

Cause: apply -at N without a valid stored document dereferenced a nil document and panicked. A grave change that was sent without the confirmation was answered by a page that asks to tick a box it does not show. The console asked instances one after another, so that four silent ones took 12 s, and waited for a rollout without regard to the caller. A reason that the command does not know cleared the explanation found before. Ruled out: a nil check at each caller of ConflictError, which would stand in three places. Change: the message names the case; errUnconfirmed renders the whole review again; up to 32 instances are asked at the same time.

--- a/internal/oper/change/change.go
+++ b/internal/oper/change/change.go
@@ -45,12 +45,18 @@
 
 // ConflictError means that another operator changed the document after the version that a change was based on.
 type ConflictError struct {
-	// Current is the active document.
+	// Current is the stored document; its Document is nil if none is stored or if it does not parse.
 	Current StoredDocument
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	switch {
+	case e.Current.Version == 0:
+		return "no document is in force, so the change cannot be based on an earlier version; submit it without a version"
+	case e.Current.Document == nil:
+		return fmt.Sprintf("document was replaced by version %d, which is not valid; read it with show and submit the change again", e.Current.Version)
+	}
 	author := e.Current.Document.Author
 	if author == "" {
 		author = "somebody"
--- a/internal/oper/change/change_test.go
+++ b/internal/oper/change/change_test.go
@@ -255,3 +255,22 @@
 		})
 	}
 }
+
+// TestConflictError checks the message of a conflict with a version that has no content: commands print it when the stored document is missing
+// or invalid.
+func TestConflictError(t *testing.T) {
+	cases := map[string]struct {
+		current change.StoredDocument
+		want    string
+	}{
+		"no document":      {want: "no document is in force"},
+		"invalid document": {current: change.StoredDocument{Version: 7, Text: []byte("{")}, want: "version 7"},
+		"valid document":   {current: change.StoredDocument{Version: 7, Document: &model.Document{Author: "wanjiru"}}, want: "wanjiru"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := &change.ConflictError{Current: tc.current}
+			is.New(t).True(strings.Contains(err.Error(), tc.want))
+		})
+	}
+}
--- a/internal/oper/forms/forms.go
+++ b/internal/oper/forms/forms.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/oper/change"
@@ -19,6 +21,8 @@
 const (
 	requestTimeout = 15 * time.Second
 	maxFormBytes   = 1 << 20
+	// maxStatusCalls bounds the instances that are asked for their status concurrently.
+	maxStatusCalls = 32
 )
 
 //go:embed pages.html
@@ -111,15 +115,27 @@
 	c.render(w, "overview", page)
 }
 
-// fetchRollout fetches the status of every instance and compares its document version with v.
+// fetchRollout fetches the status of every instance and compares its document version with v. It asks several instances at a time, so that
+// the timeouts of instances that do not answer do not add up.
 func (c *Console) fetchRollout(ctx context.Context, v model.Version) rolloutStatus {
 	s := rolloutStatus{Version: v, Asked: len(c.cfg.Admin), streams: map[model.UpstreamID]int{}}
-	for _, addr := range c.cfg.Admin {
-		w, err := status.Fetch(ctx, addr)
-		if err != nil {
+	reports, errs := make([]status.WireReport, len(c.cfg.Admin)), make([]error, len(c.cfg.Admin))
+	var g errgroup.Group
+	g.SetLimit(maxStatusCalls)
+	for n, addr := range c.cfg.Admin {
+		g.Go(func() error {
+			reports[n], errs[n] = status.Fetch(ctx, addr)
+			return nil
+		})
+	}
+	_ = g.Wait() // The errors are in errs, one for each instance.
+	for n, addr := range c.cfg.Admin {
+		if errs[n] != nil {
+			c.cfg.Log.With("address", addr).With("error", errs[n]).Info("Instance did not report its status.")
 			s.Silent = append(s.Silent, addr)
 			continue
 		}
+		w := reports[n]
 		if w.Document >= uint64(v) {
 			s.Have++
 		} else if s.OldestInstance == "" || w.Document < s.OldestOfVersion {
--- a/internal/oper/forms/forms_test.go
+++ b/internal/oper/forms/forms_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -30,7 +32,7 @@
 	url      string
 }
 
-func newTestConsole(t *testing.T) *testConsole {
+func newTestConsole(t *testing.T, admin ...string) *testConsole {
 	t.Helper()
 	store := httptest.NewServer(stand.NewStore().Handler())
 	t.Cleanup(store.Close)
@@ -41,6 +43,7 @@
 	c.NoErr(err)
 	srv := httptest.NewServer(forms.New(forms.Config{
 		Platform: c.platform,
+		Admin:    admin,
 		Token:    token,
 		Log:      logs.Named(logs.New(io.Discard, logrus.InfoLevel), "console"),
 	}).Handler())
@@ -113,6 +116,7 @@
 			code, page := c.do(http.MethodPost, "/send", form, token)
 			c.Equal(code, http.StatusBadRequest)
 			c.True(strings.Contains(page, "Tick the box"))
+			c.True(strings.Contains(page, `type="checkbox" id="confirm"`))
 			form.Set("confirm", "on")
 			code, _ = c.do(http.MethodPost, "/send", form, token)
 			c.Equal(code, http.StatusOK)
@@ -140,3 +144,21 @@
 		t.Run(name, func(t *testing.T) { check(newTestConsole(t)) })
 	}
 }
+
+// TestSilentInstances checks that the timeouts of several instances that do not answer do not add up on the overview.
+func TestSilentInstances(t *testing.T) {
+	is := is.New(t)
+	var silent []string
+	for range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = l.Close() })
+		silent = append(silent, l.Addr().String())
+	}
+	c := newTestConsole(t, silent...)
+	start := time.Now()
+	code, page := c.do(http.MethodGet, "/", nil, token)
+	is.Equal(code, http.StatusOK)
+	is.Equal(strings.Count(page, "did not answer"), len(silent))
+	is.True(time.Since(start) < 6*time.Second)
+}
--- a/internal/oper/forms/send.go
+++ b/internal/oper/forms/send.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/oper/change"
 )
@@ -25,6 +27,8 @@
 	Effects     []change.Effect
 	// Grave is set if one of Effects needs an explicit confirmation.
 	Grave bool
+	// Unconfirmed is set if the change was submitted without that confirmation.
+	Unconfirmed bool
 	// Conflict describes a concurrent change by another operator; empty for none.
 	Conflict string
 	Error    string
@@ -99,15 +103,23 @@
 	case errors.As(err, &conflict):
 		w.WriteHeader(http.StatusConflict)
 		c.render(w, "review", c.buildReview(ctx, r.PostForm, conflict.Error()))
-	case err != nil:
+	case err != nil && !errors.Is(err, errUnconfirmed):
 		w.WriteHeader(http.StatusBadRequest)
 		c.render(w, "review", reviewPage{Form: changeFields(r.PostForm), Error: err.Error(), Edit: refilledPage(r.PostForm)})
+	case errors.Is(err, errUnconfirmed):
+		page := c.buildReview(ctx, r.PostForm, "")
+		page.Unconfirmed = page.Grave
+		w.WriteHeader(http.StatusBadRequest)
+		c.render(w, "review", page)
 	default:
 		c.cfg.Log.With("version", v).With("author", author).Info("Document was submitted.")
 		c.render(w, "sent", sentPage{Version: v, Force: c.awaitRollout(ctx, v)})
 	}
 }
 
+// errUnconfirmed means that a change with grave effects was submitted without the confirmation.
+var errUnconfirmed = eris.New("change with grave effects is not confirmed")
+
 // submit writes the form's change if the document is still at the version that was reviewed. A change with grave effects must be confirmed.
 func (c *Console) submit(ctx context.Context, form url.Values, author string) (model.Version, error) {
 	d, text, err := c.applyForm(ctx, form)
@@ -123,13 +135,14 @@
 	}
 	for _, e := range change.Effects(d.Document, next, nil) {
 		if e.Grave && form.Get("confirm") == "" {
-			return 0, errors.New(e.Text + " Tick the box to send it anyway")
+			return 0, errUnconfirmed
 		}
 	}
 	return change.Submit(ctx, c.cfg.Platform, d, text, author)
 }
 
-// awaitRollout waits up to rolloutTimeout until every instance that answers uses version v or a later one, and returns the last status.
+// awaitRollout waits up to rolloutTimeout until every instance that answers uses version v or a later one, and returns the last status. It
+// returns early if ctx ends.
 func (c *Console) awaitRollout(ctx context.Context, v model.Version) rolloutStatus {
 	deadline := time.Now().Add(rolloutTimeout)
 	for {
@@ -137,7 +150,11 @@
 		if s.Have+len(s.Silent) >= s.Asked || time.Now().After(deadline) {
 			return s
 		}
-		time.Sleep(rolloutPollInterval)
+		select {
+		case <-time.After(rolloutPollInterval):
+		case <-ctx.Done():
+			return s
+		}
 	}
 }
 
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -79,7 +79,7 @@
 type Explanation struct {
 	// Lines holds the log lines of the flow and of its upstreams, ordered by time.
 	Lines []Entry
-	// Reason explains the last logged reason for which the flow ended or was delayed; it is empty if there is none.
+	// Reason explains the last logged reason for which the flow ended or was delayed; it is empty if no line has a reason that is known.
 	Reason string
 }
 
@@ -108,8 +108,8 @@
 	out.Lines = append(out.Lines, flowLines...)
 	sortByTime(out.Lines)
 	for _, e := range flowLines {
-		if text := e.text("reason"); text != "" {
-			out.Reason = reasonTexts[text]
+		if text, known := reasonTexts[e.text("reason")]; known {
+			out.Reason = text
 		}
 	}
 	return out, nil
--- a/internal/oper/story/story_test.go
+++ b/internal/oper/story/story_test.go
@@ -72,7 +72,7 @@
 	for _, reason := range []model.Reason{
 		model.ReasonNoRoute, model.ReasonRouteRemoved, model.ReasonNoUpstream, model.ReasonUpstreamGone, model.ReasonUpstreamUnreachable,
 		model.ReasonHandshakeSilent, model.ReasonCallerRepeats, model.ReasonTagUnknown, model.ReasonTagMissing, model.ReasonNotReady,
-		model.ReasonRetryBudget, model.ReasonFlowLimit,
+		model.ReasonRetryBudget, model.ReasonFlowLimit, model.ReasonStale,
 	} {
 		entries := []story.Entry{{Instance: "a", Fields: map[string]any{"flow": "a:1", "reason": reason.String()}}}
 		explanation, err := story.Explain(entries, "a:1")
@@ -81,3 +81,14 @@
 		}
 	}
 }
+
+// TestUnknownReason checks that a reason without an explanation, such as one of a newer build, leaves the explanation of an earlier line in place.
+func TestUnknownReason(t *testing.T) {
+	is := is.New(t)
+	line := func(reason string) story.Entry {
+		return story.Entry{Instance: "a", Fields: map[string]any{"flow": "a:1", "reason": reason}}
+	}
+	explanation, err := story.Explain([]story.Entry{line(model.ReasonUpstreamGone.String()), line("newer_reason")}, "a:1")
+	is.NoErr(err)
+	is.True(strings.Contains(explanation.Reason, "terminated"))
+}
