Report each error in a document once, in order of lines

Cause: a kind, an address or slots with a wrong value were reported a second time as missing, coldSlots once more for wrong slots, and errors of failure domains came after all others. Ruled out: the golden file being right: it listed 'slots is missing' for a line on which slots is given. Change: Require asks whether the field is there; all faults are sorted together.

--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -65,6 +65,7 @@
 		faults = append(faults, reader.Fault{Line: 1, Field: "domains", Reason: "must contain at least one failure domain"})
 	}
 	faults = append(faults, c.domainFaults()...)
+	faults.Sort()
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
@@ -173,7 +174,7 @@
 	f.Require("slots", u.Slots > 0)
 	f.Require("connections", u.Connections > 0)
 	u.ColdSlots = max(u.ColdSlots, 1)
-	if u.ColdSlots > u.Slots {
+	if u.Slots > 0 && u.ColdSlots > u.Slots {
 		f.Fault("coldSlots must not exceed slots")
 	}
 	if other, taken := c.tags[u.ID.Tag()]; taken && other != u.ID {
@@ -199,9 +200,7 @@
 // checkAddress records a fault if a required address is missing or if the address is used before in the document.
 func (c *checker) checkAddress(f reader.Field, name string, addr netip.AddrPort, required bool) {
 	if !addr.IsValid() {
-		if required {
-			f.Fault("%s is missing", name)
-		}
+		f.Require(name, !required)
 		return
 	}
 	if other, taken := c.addresses[addr]; taken {
--- a/internal/conf/reader/reader.go
+++ b/internal/conf/reader/reader.go
@@ -72,10 +72,15 @@
 		return Faults{{Line: 1, Field: "text", Reason: strings.TrimPrefix(err.Error(), "hujson: ")}}
 	}
 	Field{r: r, path: "", value: value}.Object(schema)
-	slices.SortStableFunc(r.faults, func(a, b Fault) int { return a.Line - b.Line })
+	r.faults.Sort()
 	return r.faults
 }
 
+// Sort sorts the faults by line; those of one line keep their order.
+func (fs Faults) Sort() {
+	slices.SortStableFunc(fs, func(a, b Fault) int { return a.Line - b.Line })
+}
+
 // Fault records an error in the field.
 func (f Field) Fault(format string, args ...any) {
 	path := f.path
@@ -219,13 +224,25 @@
 	}
 }
 
-// Require records a fault if the named field of the object f is not set.
+// Require records a fault if the object f lacks the named field. A field that is there but has no valid value has a fault of its own already.
 func (f Field) Require(name string, set bool) {
-	if !set {
+	if !set && !f.has(name) {
 		f.Fault("%s is missing", name)
 	}
 }
 
+// has reports whether the object f has a member of that name, whatever its value.
+func (f Field) has(name string) bool {
+	obj, ok := f.value.Value.(*hujson.Object)
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(obj.Members, func(m hujson.ObjectMember) bool {
+		lit, ok := m.Name.Value.(hujson.Literal)
+		return ok && lit.String() == name
+	})
+}
+
 // Path returns the field's path.
 func (f Field) Path() string {
 	return f.path
