Keep the log limit without NextWindow, and give histograms their sum

Cause: once a window was over, the limiter allowed every line until NextWindow ran: a stalled decision loop logs without a limit when it wakes. Histograms lacked _sum, so that no mean can be computed from them. Ruled out: a window that Allow starts for all kinds, as NextWindow would then miss suppressed lines. Change: each kind has its own window; the sum is a counter that tally reports together with the buckets. Measured: go test ./internal/base/...: fails before, passes after (15 lines in 5 s at a limit of 3 a second).

--- a/internal/base/count/count.go
+++ b/internal/base/count/count.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 
 // New returns an empty set.
 func New() *Set {
-	t := &totals{values: map[string]int64{}, gauges: map[string]float64{}, latencies: map[string]map[time.Duration]int64{}}
+	t := &totals{values: map[string]int64{}, gauges: map[string]float64{}, latencies: map[string]map[time.Duration]int64{}, latencySums: map[string]int64{}}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: t, OmitCardinalityMetrics: true}, reportInterval)
 	return &Set{scope: scope, closer: closer, totals: t, counters: map[string]tally.Counter{}}
 }
@@ -58,7 +59,23 @@
 
 // Latency returns the histogram with the name for request latencies and creates it on first use.
 func (s *Set) Latency(name string) tally.Histogram {
-	return s.scope.Histogram(name, latencyBuckets)
+	return latency{Histogram: s.scope.Histogram(name, latencyBuckets), sum: s.Counter(name + sumSuffix)}
+}
+
+// sumSuffix follows the name of a histogram in the name of the counter of its sum, in microseconds. Tally reports buckets only; a counter is
+// reported together with them.
+const sumSuffix = ".sum_us"
+
+// latency is a histogram that also counts the sum of its samples.
+type latency struct {
+	tally.Histogram
+	sum tally.Counter
+}
+
+// RecordDuration implements tally.Histogram.
+func (l latency) RecordDuration(d time.Duration) {
+	l.Histogram.RecordDuration(d)
+	l.sum.Inc(d.Microseconds())
 }
 
 // Total is the value of one counter since the start.
@@ -79,6 +96,8 @@
 	gauges map[string]float64
 	// latencies holds the number of samples in each bucket, by histogram name and the bucket's upper bound.
 	latencies map[string]map[time.Duration]int64
+	// latencySums holds the sum of the samples, in microseconds, by histogram name.
+	latencySums map[string]int64
 }
 
 func (t *totals) list() []Total {
@@ -95,6 +114,10 @@
 func (t *totals) ReportCounter(name string, _ map[string]string, value int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if histogram, isSum := strings.CutSuffix(name, sumSuffix); isSum {
+		t.latencySums[histogram] += value
+		return
+	}
 	t.values[name] += value
 }
 
--- a/internal/base/count/text.go
+++ b/internal/base/count/text.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // metricPrefix is the prefix of all metric names in the text format.
@@ -33,12 +34,13 @@
 func (t *totals) writeLatency(w io.Writer, name string) {
 	id := metricName(name) + "_seconds"
 	fmt.Fprintf(w, "# TYPE %s histogram\n", id)
-	var sum int64
+	var samples int64
 	for _, upper := range slices.Sorted(maps.Keys(t.latencies[name])) {
-		sum += t.latencies[name][upper]
-		fmt.Fprintf(w, "%s_bucket{le=\"%g\"} %d\n", id, upper.Seconds(), sum)
+		samples += t.latencies[name][upper]
+		fmt.Fprintf(w, "%s_bucket{le=\"%g\"} %d\n", id, upper.Seconds(), samples)
 	}
-	fmt.Fprintf(w, "%s_bucket{le=\"+Inf\"} %d\n%s_count %d\n", id, sum, id, sum)
+	sum := time.Duration(t.latencySums[name]) * time.Microsecond
+	fmt.Fprintf(w, "%s_bucket{le=\"+Inf\"} %d\n%s_sum %g\n%s_count %d\n", id, samples, id, sum.Seconds(), id, samples)
 }
 
 func metricName(name string) string {
--- a/internal/base/logs/limiter.go
+++ b/internal/base/logs/limiter.go
@@ -17,9 +17,13 @@
 	kinds       map[string]*lineCounts
 }
 
-// lineCounts holds the numbers of lines of one kind in the current window.
+// lineCounts counts the lines of one kind.
 type lineCounts struct {
-	written, suppressed int
+	// windowStart is the start of the window in which the lines in written were counted.
+	windowStart time.Duration
+	written     int
+	// suppressed counts the lines since the last call of NextWindow that reported any.
+	suppressed int
 }
 
 // Suppressed is the number of suppressed lines of one kind in a window.
@@ -28,18 +32,21 @@
 	Lines int
 }
 
-// Allow reports whether a line of the kind may be written now, and counts it. The time is a reading of any monotonic clock. Once the window is
-// over, all lines are allowed until NextWindow starts the next one.
+// Allow reports whether a line of the kind may be written now, and counts it. The time is a reading of any monotonic clock. The limit holds in
+// each window of a kind, however late NextWindow is called.
 func (l *Limiter) Allow(now time.Duration, kind string) bool {
 	if l.kinds == nil {
 		l.kinds = map[string]*lineCounts{}
 	}
 	counts := l.kinds[kind]
 	if counts == nil {
-		counts = &lineCounts{}
+		counts = &lineCounts{windowStart: now}
 		l.kinds[kind] = counts
 	}
-	if now-l.windowStart < limiterWindow && counts.written >= l.Limit {
+	if now-counts.windowStart >= limiterWindow {
+		counts.windowStart, counts.written = now, 0
+	}
+	if counts.written >= l.Limit {
 		counts.suppressed++
 		return false
 	}
@@ -47,7 +54,7 @@
 	return true
 }
 
-// NextWindow starts a new window if the current one is over, and returns the lines that were suppressed in the old one, sorted by kind.
+// NextWindow returns the lines that were suppressed since it last did so, sorted by kind, at most once in a window.
 func (l *Limiter) NextWindow(now time.Duration) []Suppressed {
 	if now-l.windowStart < limiterWindow {
 		return nil
@@ -57,8 +64,8 @@
 	for _, kind := range slices.Sorted(maps.Keys(l.kinds)) {
 		if n := l.kinds[kind].suppressed; n > 0 {
 			out = append(out, Suppressed{Kind: kind, Lines: n})
+			l.kinds[kind].suppressed = 0
 		}
-		*l.kinds[kind] = lineCounts{}
 	}
 	return out
 }
--- a/internal/base/logs/logs_test.go
+++ b/internal/base/logs/logs_test.go
@@ -82,3 +82,18 @@
 	_, err := time.Parse(time.RFC3339Nano, line["time"])
 	is.NoErr(err)
 }
+
+// TestLimiterWithoutNextWindow checks that the limit also holds if NextWindow is called late, as by a stalled process, and that no suppressed line
+// is left out of its count.
+func TestLimiterWithoutNextWindow(t *testing.T) {
+	is := is.New(t)
+	l := logs.Limiter{Limit: 3}
+	written := 0
+	for ms := range 5000 {
+		if l.Allow(time.Duration(ms)*time.Millisecond, "reset") {
+			written++
+		}
+	}
+	is.Equal(written, 15)
+	is.Equal(l.NextWindow(5*time.Second), []logs.Suppressed{{Kind: "reset", Lines: 4985}})
+}
