--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -38,6 +38,8 @@
 	ErrNotFound = platform.ErrNotFound
 	// ErrRejected means that the platform refused the request and would refuse it again.
 	ErrRejected = platform.ErrRejected
+	// ErrNoRevision means that the store's response to a list carried no revision.
+	ErrNoRevision = eris.New("platform store returned a list without a revision")
 	// ErrUnchanged means that a watch ended without a change.
 	ErrUnchanged = eris.New("object did not change during the watch")
 )
@@ -135,6 +137,10 @@
 	if err != nil {
 		return Object{}, err
 	}
+	if rev == 0 {
+		// A watch needs a revision to resume from; without one, the caller would repeat the list without a pause.
+		return Object{}, ErrNoRevision
+	}
 	c.setPosition(name, rev)
 	for _, item := range items {
 		if item.Name == name && model.Version(item.Revision) > above {
--- a/internal/run/entry/act.go
+++ b/internal/run/entry/act.go
@@ -26,7 +26,11 @@
 		f.Hops, f.Upstream = a.Packet.Hops+1, a.Packet.Upstream
 		return e.wrap(e.handOff, e.handOffAddrs[a.Peer], f)
 	case model.VerbHandOffAnswer:
-		f := answerFrame(a.Answer.Flow, a.Answer.Raw)
+		raw, err := renewBinding(a.Answer.Raw, a.Binding)
+		if err != nil {
+			return datagram{}, err
+		}
+		f := answerFrame(a.Answer.Flow, raw)
 		f.From, f.Boot = a.Answer.From, a.Answer.Boot
 		return e.wrap(e.handOff, e.handOffAddrs[a.Peer], f)
 	case model.VerbDeliver:
@@ -66,15 +70,21 @@
 		}
 		return e.wrap(e.front, e.cfg.Fabric, answerFrame(a.Packet.Flow, raw))
 	}
-	raw := a.Raw
-	if len(a.Binding) > 0 {
-		if raw, err = coap.RenewBinding(raw, a.Binding); err != nil {
-			return d, err
-		}
+	raw, err := renewBinding(a.Raw, a.Binding)
+	if err != nil {
+		return d, err
 	}
 	return e.wrap(e.front, e.cfg.Fabric, answerFrame(a.Answer.Flow, raw))
 }
 
+// renewBinding replaces the binding in an answer; it returns the answer unchanged if there is no new binding.
+func renewBinding(raw, binding []byte) ([]byte, error) {
+	if len(binding) == 0 {
+		return raw, nil
+	}
+	return coap.RenewBinding(raw, binding)
+}
+
 // reply encodes an answer that this instance generates itself. Opaque datagrams and callers' acknowledgements and rejections get none.
 func (e *Entry) reply(a *model.Action) (d datagram, err error) {
 	if a.Packet.Class == model.ClassFlow || a.Packet.Class == model.ClassReply {
--- a/internal/run/entry/objects.go
+++ b/internal/run/entry/objects.go
@@ -37,7 +37,12 @@
 
 // activeObject is the version of an object that this instance uses.
 type activeObject struct {
+	// installMu serialises installations. It may be held while the queue of the decision loop is full, so readers of the object do not take it.
+	installMu sync.Mutex
+
 	mu sync.Mutex
+	// The fields below are guarded by mu and written only while installMu is held as well.
+
 	// version never decreases; zero means that there is no object yet.
 	version model.Version
 	body    []byte
@@ -54,8 +59,8 @@
 // Offer implements mesh.Host. It activates an object if its version is higher than the active one and it can be parsed.
 func (e *Entry) Offer(kind mesh.Kind, version model.Version, body []byte) {
 	o := &e.objects[kind]
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.installMu.Lock()
+	defer o.installMu.Unlock()
 	if version <= o.version {
 		return
 	}
@@ -65,7 +70,9 @@
 			Error("A new version of the configuration document or of the binding keys cannot be parsed; the previous version stays active.")
 		return
 	}
+	o.mu.Lock()
 	o.version, o.body = version, body
+	o.mu.Unlock()
 	e.mesh.Push()
 }
 
@@ -182,12 +189,17 @@
 	var old bind.Keys
 	if version > 0 {
 		var err error
-		if old, err = keys.Parse(version, body); err != nil || old.List[0].Epoch >= epoch {
+		if old, err = keys.Parse(version, body); err != nil {
+			e.logger("keys").With("version", version).With("error", err).Error("The active binding keys cannot be parsed, so they are not rotated.")
+			return
+		}
+		if old.List[0].Epoch >= epoch {
 			return
 		}
 	}
 	rotated, err := keys.Rotate(old, epoch)
 	if err != nil {
+		e.logger("keys").With("epoch", epoch).With("error", err).Error("A new binding key cannot be generated; the rotation is retried.")
 		return
 	}
 	newVersion, err := e.platform.Put(ctx, keys.ObjectName, version, rotated)
--- a/internal/run/entry/sockets.go
+++ b/internal/run/entry/sockets.go
@@ -51,6 +51,7 @@
 		}
 		if err != nil {
 			e.counts.Counter("entry.read_failed").Inc(1)
+			sleep(ctx, ringRetryDelay)
 			continue
 		}
 		raw := make([]byte, n)
