Tell a cancelled call from a timeout, and drop the hook of closed connections

Cause: a caller whose context was cancelled got ErrTimeout; each accepted connection left a cancellation hook until shutdown. Change: Call returns the context's error; the hook is removed when the connection ends. The time of the last contact with a member, which nothing read, is gone.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -54,8 +54,6 @@
 	model.Member
 	// stateSince is when the current state was entered.
 	stateSince model.Instant
-	// lastContact is when this instance last received a message from the peer.
-	lastContact model.Instant
 }
 
 // New returns a list that contains only this instance.
@@ -192,13 +190,6 @@
 	return live[:min(n, len(live))]
 }
 
-// RecordContact records that the instance itself answered or sent a message.
-func (l *List) RecordContact(now model.Instant, id model.InstanceID) {
-	if p := l.peers[id]; p != nil {
-		p.lastContact = now
-	}
-}
-
 // Suspect marks an instance as suspect after its direct and indirect probes went unanswered.
 func (l *List) Suspect(now model.Instant, id model.InstanceID) {
 	p := l.peers[id]
--- a/internal/peer/links/links.go
+++ b/internal/peer/links/links.go
@@ -20,7 +20,7 @@
 	dialTimeout = time.Second
 )
 
-// ErrTimeout is returned by Call if the peer does not reply within the timeout.
+// ErrTimeout is returned by Call if the peer does not reply within the timeout. If the caller's context ends first, Call returns its error.
 var ErrTimeout = eris.New("peer did not reply before the call timed out")
 
 // Pool is a client pool with one connection per peer, opened by the first call. It is safe for concurrent use.
@@ -54,9 +54,9 @@
 // Call invokes an RPC method of the peer at addr, opening a connection if there is none. The timeout covers both. After an error, including
 // one returned by the method itself, the connection is closed.
 func (p *Pool) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := p.client(ctx, addr)
+	c, err := p.client(callCtx, addr)
 	if err != nil {
 		return err
 	}
@@ -67,8 +67,11 @@
 			p.drop(addr, c)
 		}
 		return call.Error
-	case <-ctx.Done():
+	case <-callCtx.Done():
 		p.drop(addr, c)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		return ErrTimeout
 	}
 }
@@ -168,8 +171,13 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		counted := p.CountBytes(conn)
-		context.AfterFunc(ctx, func() { _ = counted.Close() })
-		go srv.ServeConn(counted)
+		go serveConn(ctx, srv, p.CountBytes(conn))
 	}
 }
+
+// serveConn serves RPCs on a connection until the peer closes it or ctx is cancelled.
+func serveConn(ctx context.Context, srv *rpc.Server, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	srv.ServeConn(conn)
+}
--- a/internal/peer/mesh/probe.go
+++ b/internal/peer/mesh/probe.go
@@ -79,7 +79,6 @@
 		return err
 	}
 	m.mu.Lock()
-	m.list.RecordContact(m.now(), target.ID)
 	m.list.Merge(m.now(), fromWireAll(reply.News))
 	m.mu.Unlock()
 	m.notifyHost()
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -36,7 +36,6 @@
 	m.mu.Lock()
 	m.list.Merge(m.now(), from)
 	m.list.Merge(m.now(), fromWireAll(args.News))
-	m.list.RecordContact(m.now(), model.InstanceID(args.From.ID))
 	reply.News = toWireAll(append(m.list.NextUpdates(updatesPerCall), m.selfAndSender(args.From)...))
 	m.mu.Unlock()
 	reply.Versions, reply.Loads = m.versions(), loadsToWire(m.cfg.Host.Loads())
