Reject incomplete load patterns, and let overlapping events end separately

Cause: a pattern without speeds or a burst without a factor panicked; the end of the first of two overlapping events also ended the second or restored a wrong value. Change: ParsePattern checks both; active factors, partitions and outages are counted.

--- a/internal/bench/replay/instance.go
+++ b/internal/bench/replay/instance.go
@@ -31,6 +31,8 @@
 	runningGeneration int
 	// generation is incremented by each start and stop, so that tasks of an earlier run are recognized and ignored.
 	generation int
+	// outages counts the events that keep the instance stopped, as they may overlap.
+	outages int
 	// failedChecks counts the consecutive failures of the readiness check.
 	failedChecks int
 	// nextTick is the time of the next scheduled tick of the engine.
@@ -74,12 +76,19 @@
 	in.generation++
 }
 
+// restore ends one outage and starts the instance if none is left.
+func (in *instance) restore() {
+	if in.outages--; in.outages == 0 {
+		in.start()
+	}
+}
+
 // scheduleSync schedules a sync of the registry after a random delay of up to maxStaleness.
 // While the instance's failure domain is partitioned from the store, the sync is postponed by another such delay.
 func (in *instance) scheduleSync() {
 	in.sim.after(time.Duration(in.sim.rng.Int64N(int64(maxStaleness))), func() {
 		switch {
-		case in.sim.partitioned[in.domain]:
+		case in.sim.partitions[in.domain] > 0:
 			in.scheduleSync()
 		case in.runningGeneration != 0:
 			in.syncRegistry()
--- a/internal/bench/replay/pattern.go
+++ b/internal/bench/replay/pattern.go
@@ -5,6 +5,7 @@
 
 import (
 	"embed"
+	"fmt"
 	"io/fs"
 	"path"
 	"slices"
@@ -160,7 +161,27 @@
 			f.Array(func(f reader.Field) { p.Events = append(p.Events, readEvent(f)) })
 		},
 	})
-	return p, errs.Err()
+	if len(errs) > 0 {
+		return p, errs
+	}
+	return p, p.checkComplete()
+}
+
+// checkComplete returns an error if a required list is empty or an event lacks its factor.
+func (p *Pattern) checkComplete() error {
+	var errs reader.Faults
+	for field, empty := range map[string]bool{"domains": len(p.Domains) == 0, "speeds": len(p.TimeFactors) == 0} {
+		if empty {
+			errs = append(errs, reader.Fault{Line: 1, Field: field, Reason: "must have at least one entry"})
+		}
+	}
+	for n, e := range p.Events {
+		if e.Factor == 0 && (e.Kind == EventSlow || e.Kind == EventBurst) {
+			errs = append(errs, reader.Fault{Line: 1, Field: fmt.Sprintf("events[%d].factor", n), Reason: "is required for this kind of event"})
+		}
+	}
+	slices.SortFunc(errs, func(a, b reader.Fault) int { return strings.Compare(a.Field, b.Field) })
+	return errs.Err()
 }
 
 // textList returns a schema function that appends the strings of an array to dst.
--- a/internal/bench/replay/replay_test.go
+++ b/internal/bench/replay/replay_test.go
@@ -43,6 +43,10 @@
 		"unknown kind":     `{"events": [{"at": "1s", "kind": "flood"}]}`,
 		"unknown field":    `{"size": "5s"}`,
 		"length too short": `{"length": "1ms"}`,
+		"no speeds":        `{"domains": ["a"], "speeds": []}`,
+		"no domains":       `{"speeds": ["1"]}`,
+		"burst, no factor": `{"domains": ["a"], "speeds": ["1"], "events": [{"at": "1s", "kind": "burst"}]}`,
+		"slow, no factor":  `{"domains": ["a"], "speeds": ["1"], "events": [{"at": "1s", "kind": "slow", "count": 1}]}`,
 	}
 	for name, text := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/bench/replay/simulation.go
+++ b/internal/bench/replay/simulation.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -52,14 +53,14 @@
 	instances         []*instance
 	upstreams         []*upstream
 	upstreamsByNumber map[model.EndpointNumber]*upstream
-	// partitioned holds the failure domains that are disconnected from the others and from the store.
-	partitioned map[model.DomainID]bool
-	// domainsOut holds the failure domains that operators have taken out.
+	// partitions counts the events that disconnect a failure domain from the others and from the store, as events may overlap.
+	partitions map[model.DomainID]int
+	// domainsOut holds the failure domains that operators have taken out, once for each event.
 	domainsOut []model.DomainID
 	// revision is the revision of the registry.
 	revision model.Revision
-	// loadFactor multiplies the request rate.
-	loadFactor float64
+	// bursts multiply the request rate.
+	bursts factors
 	// flowCount counts the flows opened so far; caller addresses are derived from it.
 	flowCount uint32
 	result    *Result
@@ -97,18 +98,20 @@
 
 const serviceID model.ServiceID = "service"
 
-// Run simulates the pattern and returns the outcomes of its requests.
-func Run(cfg Config) *Result {
-	s := &simulation{
+func newSimulation(cfg Config) *simulation {
+	return &simulation{
 		cfg:               cfg,
 		pattern:           cfg.Pattern,
 		rng:               rand.New(rand.NewPCG(cfg.Seed, 1)),
 		instancesByDomain: map[model.DomainID][]*instance{},
 		upstreamsByNumber: map[model.EndpointNumber]*upstream{},
-		partitioned:       map[model.DomainID]bool{},
-		loadFactor:        1,
+		partitions:        map[model.DomainID]int{},
 		result:            newResult(cfg.Pattern),
 	}
+}
+
+// populate adds the upstreams and instances of every failure domain.
+func (s *simulation) populate() {
 	for _, name := range s.pattern.Domains {
 		d := model.DomainID(name)
 		for range s.pattern.Upstreams {
@@ -120,6 +123,12 @@
 			s.instancesByDomain[d] = append(s.instancesByDomain[d], in)
 		}
 	}
+}
+
+// Run simulates the pattern and returns the outcomes of its requests.
+func Run(cfg Config) *Result {
+	s := newSimulation(cfg)
+	s.populate()
 	for _, name := range s.pattern.Domains {
 		s.startCallers(model.DomainID(name))
 	}
@@ -153,7 +162,7 @@
 
 // connected reports whether packets pass between two failure domains.
 func (s *simulation) connected(a, b model.DomainID) bool {
-	return a == b || (!s.partitioned[a] && !s.partitioned[b])
+	return a == b || (s.partitions[a] == 0 && s.partitions[b] == 0)
 }
 
 // networkDelay returns the one-way delay between an instance in domain a and an upstream in domain b.
@@ -177,7 +186,26 @@
 
 // randomPause returns an exponentially distributed pause with the given mean, divided by the load factor.
 func (s *simulation) randomPause(mean time.Duration) time.Duration {
-	return time.Duration(float64(mean) * s.rng.ExpFloat64() / s.loadFactor)
+	return time.Duration(float64(mean) * s.rng.ExpFloat64() / s.bursts.product())
+}
+
+// factors holds the factors of the events that are active, in percent.
+type factors []int
+
+// product returns the product of the factors, 1 if there are none.
+func (f factors) product() float64 {
+	product := 1.0
+	for _, percent := range f {
+		product *= float64(percent) / 100
+	}
+	return product
+}
+
+// remove removes one occurrence of a factor.
+func (f *factors) remove(percent int) {
+	if n := slices.Index(*f, percent); n >= 0 {
+		*f = slices.Delete(*f, n, n+1)
+	}
 }
 
 // apply starts an event of the pattern and schedules its end.
@@ -189,30 +217,38 @@
 		}
 	case EventSlow:
 		for _, u := range s.pickUpstreams(e) {
-			timeFactor := u.timeFactor
-			u.timeFactor *= float64(e.Factor) / 100
-			s.after(e.Duration, func() { u.timeFactor = timeFactor })
+			u.slowdowns = append(u.slowdowns, e.Factor)
+			s.after(e.Duration, func() { u.slowdowns.remove(e.Factor) })
 		}
 	case EventPartition:
-		s.partitioned[model.DomainID(e.Domain)] = true
-		s.after(e.Duration, func() { delete(s.partitioned, model.DomainID(e.Domain)) })
+		s.partitions[model.DomainID(e.Domain)]++
+		s.after(e.Duration, func() { s.partitions[model.DomainID(e.Domain)]-- })
 	case EventPowerLoss:
 		for _, in := range s.instances {
 			in.stop()
-			s.after(e.Duration, in.start)
+			in.outages++
+			s.after(e.Duration, in.restore)
 		}
 	case EventBurst:
-		s.loadFactor = float64(e.Factor) / 100
-		s.after(e.Duration, func() { s.loadFactor = 1 })
+		s.bursts = append(s.bursts, e.Factor)
+		s.after(e.Duration, func() { s.bursts.remove(e.Factor) })
 	case EventReplace:
 		for i, u := range s.pickUpstreams(e) {
 			s.after(time.Duration(i)*replaceInterval, u.replace)
 		}
 	case EventDomainOut:
-		s.domainsOut = []model.DomainID{model.DomainID(e.Domain)}
+		s.domainsOut = append(s.domainsOut, model.DomainID(e.Domain))
 		s.registryChanged()
-		s.after(e.Duration, func() { s.domainsOut = nil; s.registryChanged() })
+		s.after(e.Duration, func() { s.restoreDomain(model.DomainID(e.Domain)) })
+	}
+}
+
+// restoreDomain ends one event that took a failure domain out.
+func (s *simulation) restoreDomain(d model.DomainID) {
+	if n := slices.Index(s.domainsOut, d); n >= 0 {
+		s.domainsOut = slices.Delete(slices.Clone(s.domainsOut), n, n+1)
 	}
+	s.registryChanged()
 }
 
 // replaceInterval is the time between the replacements of two upstreams.
--- a/internal/bench/replay/upstream.go
+++ b/internal/bench/replay/upstream.go
@@ -25,6 +25,8 @@
 	reg model.Registration
 	// timeFactor multiplies the request time.
 	timeFactor float64
+	// slowdowns multiply the request time further while events last.
+	slowdowns factors
 	// running is the number of requests being executed, at most the slots of the pattern.
 	running int
 	// queue holds the flows whose request waits for a slot.
@@ -136,7 +138,7 @@
 // execute runs the request of a flow, then starts the next one in the queue.
 func (u *upstream) execute(f *callerFlow) {
 	u.running++
-	factor := u.timeFactor
+	factor := u.timeFactor * u.slowdowns.product()
 	if u.sim.now < u.warmAt {
 		factor *= coldFactor
 	}
