Make the test environments stricter: overlapping faults, duplicates, locks, failed starts

Cause: of two overlapping faults of the soak the first to end also ended the second; a memory peak that could not be read passed the check; no test duplicated datagrams; closers and a process's ready address were used without a lock; a failed first start panicked in Close; the proxy did not close connections that waited for the end of a block; a socket leaked on an error.

--- a/internal/proof/direct/harness_test.go
+++ b/internal/proof/direct/harness_test.go
@@ -48,16 +48,10 @@
 )
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hawthorncourse")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = build.Program(context.Background(), dir); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(build.WithProgram(func(path string) int {
+		binary = path
+		return m.Run()
+	}))
 }
 
 // system is an environment of processes and fakes under load.
--- a/internal/proof/soak/checks_test.go
+++ b/internal/proof/soak/checks_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"hawthorncourse/internal/stand/stage"
 	"hawthorncourse/platform/stand"
 )
@@ -139,25 +141,29 @@
 		r.addViolation("after recovery: %d requests served, %d failed, %d flows broken", c.Served, c.Failed, c.BrokenFlows)
 	}
 	for _, p := range r.Processes {
-		if kb := peakMemory(p); p.Running() && kb > memoryLimitKB {
+		switch kb, err := peakMemory(p); {
+		case !p.Running():
+		case err != nil:
+			r.addViolation("instance %s: peak memory is not known: %v", p.Settings.Name, err)
+		case kb > memoryLimitKB:
 			r.addViolation("instance %s: peak memory of %d KB exceeds the limit", p.Settings.Name, kb)
 		}
 	}
 }
 
-// peakMemory returns the peak resident memory of a process in KB, or zero if it can't be read.
-func peakMemory(p *stage.Process) int {
-	text, err := os.ReadFile("/proc/" + strconv.Itoa(p.PID()) + "/status")
+// peakMemory returns the peak resident memory of a process in KB.
+func peakMemory(p *stage.Process) (int, error) {
+	path := "/proc/" + strconv.Itoa(p.PID()) + "/status"
+	text, err := os.ReadFile(path)
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	for line := range strings.Lines(string(text)) {
 		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
-			kb, _ := strconv.Atoi(fields[1])
-			return kb
+			return strconv.Atoi(fields[1])
 		}
 	}
-	return 0
+	return 0, eris.Errorf("%s has no VmHWM field", path)
 }
 
 // checkAll checks everything that was recorded during the run.
--- a/internal/proof/soak/injector_test.go
+++ b/internal/proof/soak/injector_test.go
@@ -27,6 +27,8 @@
 	// All below is guarded by mu.
 	// reserved holds the upstreams that a fault already uses or has removed.
 	reserved map[*stand.Upstream]bool
+	// held counts the faults that hold each effect at present, since several of a kind may overlap.
+	held map[string]int
 	// lastUpstream is the number of the upstream that was started last.
 	lastUpstream uint64
 	// version is that of the last configuration written; extraRoutes holds its routes beyond the initial ones, and routesAdded counts the routes added so far.
@@ -37,7 +39,7 @@
 
 func newInjector(r *run, rng *rand.Rand) *injector {
 	inj := &injector{
-		run: r, rng: rng, processLocks: map[*stage.Process]*sync.Mutex{}, reserved: map[*stand.Upstream]bool{},
+		run: r, rng: rng, processLocks: map[*stage.Process]*sync.Mutex{}, reserved: map[*stand.Upstream]bool{}, held: map[string]int{},
 		lastUpstream: uint64(len(services)), version: 1,
 	}
 	for _, p := range r.Processes {
@@ -122,6 +124,21 @@
 	}
 }
 
+// hold applies an effect and returns the function that ends it. While several faults hold the same effect, the last one to end removes it.
+func (inj *injector) hold(effect string, apply, remove func()) (release func()) {
+	inj.mu.Lock()
+	defer inj.mu.Unlock()
+	inj.held[effect]++
+	apply()
+	return func() {
+		inj.mu.Lock()
+		defer inj.mu.Unlock()
+		if inj.held[effect]--; inj.held[effect] == 0 {
+			remove()
+		}
+	}
+}
+
 // processAt returns the process that a drawn number selects.
 func (inj *injector) processAt(n int) *stage.Process {
 	return inj.Processes[n%len(inj.Processes)]
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -87,16 +87,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "hawthorncourse")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = build.Program(context.Background(), dir); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(build.WithProgram(func(path string) int {
+		binary = path
+		return m.Run()
+	}))
 }
 
 // TestSoak injects one random series of faults per seed. It guards against failures that only appear when faults overlap: requests that run
--- a/internal/proof/whole/fault_test.go
+++ b/internal/proof/whole/fault_test.go
@@ -68,7 +68,7 @@
 			time.Sleep(8 * time.Second)
 		},
 		"datagrams lost, duplicated, delayed and reordered": func(s *system) {
-			s.net.setDatagramFaults(datagramFaults{dropRate: 0.02, delayRate: 0.2, maxDelay: 300 * time.Millisecond})
+			s.net.setDatagramFaults(datagramFaults{dropRate: 0.02, duplicateRate: 0.02, delayRate: 0.2, maxDelay: 300 * time.Millisecond})
 			time.Sleep(10 * time.Second)
 			s.net.setDatagramFaults(datagramFaults{})
 			time.Sleep(2 * time.Second)
--- a/internal/proof/whole/faultnet_test.go
+++ b/internal/proof/whole/faultnet_test.go
@@ -33,11 +33,11 @@
 // faultNetwork is a set of fault proxies on the links of a fleet. It blocks links between failure domains, and drops, delays, reorders and
 // duplicates datagrams.
 type faultNetwork struct {
-	t       *testing.T
-	closers []func()
+	t *testing.T
 
 	mu sync.Mutex
 	// All below is guarded by mu.
+	closers    []func()
 	rng        *rand.Rand
 	proxyCount int
 	// names holds the name of the instance at each address, and domains the failure domain of each instance and upstream.
@@ -72,11 +72,22 @@
 }
 
 func (n *faultNetwork) close() {
-	for _, c := range n.closers {
+	n.mu.Lock()
+	closers := n.closers
+	n.closers = nil
+	n.mu.Unlock()
+	for _, c := range closers {
 		c()
 	}
 }
 
+// addCloser adds a function that close calls.
+func (n *faultNetwork) addCloser(c func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closers = append(n.closers, c)
+}
+
 // partition blocks both directions between two failure domains; "platform" names the platform's store.
 func (n *faultNetwork) partition(a, b model.DomainID) {
 	n.setBlocked(a, b, true)
@@ -167,7 +178,7 @@
 		return err
 	}
 	p := tunnel.New(tunnel.Config{Listener: l, Target: target, ServerName: server, ClientName: n.instanceAt, Links: n})
-	n.closers = append(n.closers, p.Close)
+	n.addCloser(p.Close)
 	return nil
 }
 
@@ -177,7 +188,7 @@
 		return err
 	}
 	_ = conn.SetReadBuffer(4 << 20)
-	n.closers = append(n.closers, func() { _ = conn.Close() })
+	n.addCloser(func() { _ = conn.Close() })
 	p := &udpProxy{net: n, conn: conn, server: server, target: target, replies: replies, serverConns: map[netip.AddrPort]*net.UDPConn{}}
 	go p.run()
 	return nil
@@ -222,9 +233,7 @@
 		return nil, err
 	}
 	p.serverConns[client] = out
-	p.net.mu.Lock()
-	p.net.closers = append(p.net.closers, func() { _ = out.Close() })
-	p.net.mu.Unlock()
+	p.net.addCloser(func() { _ = out.Close() })
 	if p.replies {
 		go p.forwardReplies(out, client, clientName)
 	}
--- a/internal/proof/whole/harness_test.go
+++ b/internal/proof/whole/harness_test.go
@@ -27,16 +27,10 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hawthorncourse")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = build.Program(context.Background(), dir); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(build.WithProgram(func(path string) int {
+		binary = path
+		return m.Run()
+	}))
 }
 
 // system is a running fleet with its load and the fault proxies on its links.
--- a/internal/stand/spray/spray.go
+++ b/internal/stand/spray/spray.go
@@ -67,6 +67,7 @@
 		return nil, err
 	}
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		_ = conn.Close()
 		return nil, err
 	}
 	return conn, nil
--- a/internal/stand/stage/process.go
+++ b/internal/stand/stage/process.go
@@ -33,6 +33,8 @@
 	Index int
 
 	settingsPath, logPath, binary string
+	// readyAddress is the address that the routers check; tests may change Settings.Ready, which must not take effect.
+	readyAddress netip.AddrPort
 	// ready is set while the routers send packets to the instance.
 	ready atomic.Bool
 
@@ -103,8 +105,11 @@
 	_ = p.cmd.Process.Signal(sig)
 }
 
-// Kill sends SIGKILL and waits until the process has exited.
+// Kill sends SIGKILL and waits until the process has exited. It does nothing if the process was never started.
 func (p *Process) Kill() {
+	if p.Exited() == nil {
+		return
+	}
 	p.setStopRequested()
 	p.Signal(syscall.SIGKILL)
 	<-p.Exited()
@@ -132,7 +137,7 @@
 	p.stopRequested = true
 }
 
-// Exited returns a channel that is closed when the current run exits.
+// Exited returns a channel that is closed when the current run exits; nil if the process was never started.
 func (p *Process) Exited() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/stand/stage/router.go
+++ b/internal/stand/stage/router.go
@@ -28,7 +28,7 @@
 	for e.ctx.Err() == nil {
 		started := time.Now()
 		for _, p := range e.processList() {
-			res, err := client.Get("http://" + p.Settings.Ready.String() + platform.ReadyPath)
+			res, err := client.Get("http://" + p.readyAddress.String() + platform.ReadyPath)
 			if err == nil {
 				_ = res.Body.Close()
 			}
--- a/internal/stand/stage/stage.go
+++ b/internal/stand/stage/stage.go
@@ -193,6 +193,7 @@
 			Control: e.addr(groupInstances, n+1, controlPort), Seeds: e.seeds(), Store: addr, MaxStaleness: e.cfg.MaxStaleness,
 		},
 	}
+	p.readyAddress = p.Settings.Ready
 	e.mu.Lock()
 	e.Processes = append(e.Processes, p)
 	e.mu.Unlock()
--- a/internal/stand/tunnel/tunnel.go
+++ b/internal/stand/tunnel/tunnel.go
@@ -31,6 +31,10 @@
 	clientName func(netip.Addr) string
 	links      Links
 
+	// closed is closed by Close, which ends the waits for the end of a block.
+	closed    chan struct{}
+	closeOnce sync.Once
+
 	mu sync.Mutex
 	// conns maps the open connections of clients to the client's name; it is guarded by mu.
 	conns map[net.Conn]string
@@ -52,14 +56,15 @@
 
 // New starts a proxy that forwards connections until Close.
 func New(cfg Config) *Proxy {
-	p := &Proxy{listener: cfg.Listener, target: cfg.Target, serverName: cfg.ServerName, clientName: cfg.ClientName, links: cfg.Links, conns: map[net.Conn]string{}}
+	p := &Proxy{listener: cfg.Listener, target: cfg.Target, serverName: cfg.ServerName, clientName: cfg.ClientName, links: cfg.Links, closed: make(chan struct{}), conns: map[net.Conn]string{}}
 	go p.serve()
 	return p
 }
 
-// Close closes the listener and resets all connections that are being forwarded. Connections that wait for the end of a block stay open until then.
+// Close closes the listener and resets all connections, also those that wait for the end of a block.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.closeOnce.Do(func() { close(p.closed) })
 	p.Reset("")
 }
 
@@ -121,11 +126,15 @@
 	delete(p.conns, conn)
 }
 
-// waitUnblocked waits until a direction is not blocked and reports whether it had to wait.
+// waitUnblocked waits until a direction is not blocked or the proxy is closed, and reports whether it had to wait.
 func (p *Proxy) waitUnblocked(from, to string) (wasBlocked bool) {
 	for p.links.Blocked(from, to) {
 		wasBlocked = true
-		time.Sleep(pollInterval)
+		select {
+		case <-p.closed:
+			return true
+		case <-time.After(pollInterval):
+		}
 	}
 	return wasBlocked
 }
