Free held slots and retry requests on time, renew bindings at the home, and count streams of a cold start only

Cause: deadlines were kept in the order of forwarding: a slot held for an unanswered request waited behind later deadlines, up to half a request timeout; a request that was sent again kept its old place in the queue of retry checks and delayed those behind it. A notification handed off to its home lost its renewed binding, so that the stream was moved when the old key expired. Streams of a warm upstream counted against its next cold start, which left no room when its boot was unconfirmed for a moment. A full table of pending replies was counted in one of two places. The order of upstreams had a comparator that never returns 0. In direct flows, many unknown tags cleared the set and with it the wait of those about to be resolved, and unreachable cold upstreams were offered before reachable ones. Ruled out: sorting the queue on each push, which is linear in its length. Change: queue.Timed, a heap that also replaces the one of direct flows; checks carry the time of their own sending; the binding travels in the handed-off answer; a confirmation after the cold start resets the count; unknown tags expire one by one.

--- a/internal/core/direct/cold_test.go
+++ b/internal/core/direct/cold_test.go
@@ -150,3 +150,25 @@
 		})
 	}
 }
+
+// TestUnreachableColdUpstream checks that a cold upstream that answers no probes gets a new flow only if no other upstream may take it.
+func TestUnreachableColdUpstream(t *testing.T) {
+	cold := func(n int) model.Registration {
+		item := registration(n, "east")
+		item.ColdFor = time.Hour
+		return item
+	}
+	h := newHarness(t, cold(1), cold(2))
+	h.engine.SetLimits(direct.Limits{Domains: 1, FlowLife: time.Minute, ColdFactor: 1.5, ColdSlack: 5})
+	h.engine.SetOrdinal(model.Ordinal{Count: 1}, h.now.Add(time.Hour))
+	ups := h.engine.Roster().ByService("desk")
+	h.makeUnreachable(ups[0])
+	for port := uint16(1); port <= 3; port++ {
+		a := h.syn(port, feedAddress, 0)
+		h.Equal(a.Upstream, ups[1])
+		h.data(port, feedAddress, a.Upstream.Tag)
+		h.now = h.now.Add(time.Second)
+	}
+	h.makeUnreachable(ups[1])
+	h.Equal(h.syn(9, feedAddress, 0).Verb, model.VerbForward)
+}
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -11,6 +11,7 @@
 	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/place"
+	"hawthorncourse/internal/core/queue"
 	"hawthorncourse/internal/core/recent"
 	"hawthorncourse/internal/core/roster"
 )
@@ -128,7 +129,7 @@
 	routes        map[netip.AddrPort]*route
 	serviceLimits map[model.ServiceID]model.ServiceLimits
 	flows         *recent.Table[model.FlowKey, flow]
-	timers        timers
+	timers        queue.Timed[synTimer]
 	retryBudget   choose.RetryBudget
 	handshakes    handshakeEstimator
 	domains       map[model.DomainID]*health.DomainTracker
@@ -137,8 +138,8 @@
 	// ordinal is the number of this instance within its failure domain, valid until ordinalUntil.
 	ordinal      model.Ordinal
 	ordinalUntil model.Instant
-	// unknownTags holds when each unknown tag was first seen; at most unknownTagLimit.
-	unknownTags map[unknownTag]model.Instant
+	// unknownTags holds when each unknown tag was first seen.
+	unknownTags *recent.Table[unknownTag, model.Instant]
 	// activeProbes counts the running probes; at most probeLimit.
 	activeProbes int
 	// ready is set once routes, upstreams and failure domains are known.
@@ -182,7 +183,7 @@
 		domains:       map[model.DomainID]*health.DomainTracker{},
 		suspicions:    newSuspicions(),
 		cold:          coldLimiter{},
-		unknownTags:   map[unknownTag]model.Instant{},
+		unknownTags:   recent.New[unknownTag, model.Instant](unknownTagLimit),
 	}
 }
 
@@ -286,13 +287,14 @@
 	e.startDueProbes(now)
 	e.cold.expire(now)
 	e.suspicions.expire(now)
+	e.unknownTags.Expire(now, unknownTagTTL, func(unknownTag, *model.Instant) {})
 	e.flows.Expire(now, e.table.FlowIdle, func(_ model.FlowKey, f *flow) { f.releaseLoad() })
 	return e.actions
 }
 
 // NextDeadline returns when Tick must run for the next SYN timeout; ok is false when none is pending.
 func (e *Engine) NextDeadline() (at model.Instant, ok bool) {
-	return e.timers.next()
+	return e.timers.Next()
 }
 
 // forward forwards a packet of an open flow.
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -44,6 +44,18 @@
 	return min(max(time.Duration(h.mean*handshakeTimeoutFactor), minHandshakeTimeout), maxHandshakeTimeout)
 }
 
+// synTimer is the timeout of one SYN.
+type synTimer struct {
+	deadline model.Instant
+	flow     model.FlowKey
+	// sentAt is when the SYN was sent; a SYN sent again has its own timer.
+	sentAt model.Instant
+}
+
+func (e *Engine) startTimer(t synTimer) {
+	e.timers.Push(t.deadline, t)
+}
+
 // openFlow handles a SYN.
 func (e *Engine) openFlow(now model.Instant, seg *model.Segment) {
 	r := e.routes[seg.Flow.Service]
@@ -85,7 +97,7 @@
 		f.tried = append(f.tried, up)
 	}
 	f.synAt = now
-	e.timers.add(timer{deadline: now.Add(e.handshakes.timeout()), flow: key, sentAt: now})
+	e.startTimer(synTimer{deadline: now.Add(e.handshakes.timeout()), flow: key, sentAt: now})
 	e.cold.record(now, up)
 	e.actions = append(e.actions, Action{
 		Verb: model.VerbForward, Reason: reason, Flow: key, Upstream: up, Raw: f.syn,
@@ -96,7 +108,7 @@
 // expireHandshakes counts unanswered SYNs as timeouts and retries them at another upstream.
 func (e *Engine) expireHandshakes(now model.Instant) {
 	for {
-		t, ok := e.timers.popDue(now)
+		t, ok := e.timers.PopDue(now)
 		if !ok {
 			return
 		}
@@ -107,7 +119,7 @@
 		if now.Sub(t.deadline) > stallThreshold {
 			// This instance was stalled, so answers may still be queued: allow another timeout from now on before the SYN counts as unanswered.
 			t.deadline = now.Add(e.handshakes.timeout())
-			e.timers.add(t)
+			e.startTimer(t)
 			continue
 		}
 		e.recordTimeout(now, f.up, t.sentAt)
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
@@ -86,8 +87,13 @@
 	return nil
 }
 
-// unknownTagLimit bounds the unknown tags that are remembered; more than that are noise, so the set is cleared when it is full.
-const unknownTagLimit = 1024
+const (
+	// unknownTagLimit bounds the unknown tags that are remembered. When it is reached, packets with further ones are dropped without being
+	// remembered, so that tags that are about to be resolved keep their place.
+	unknownTagLimit = 1024
+	// unknownTagTTL is how long a tag is remembered after its last packet: callers retransmit at intervals of up to 1.6 s.
+	unknownTagTTL = 3 * time.Second
+)
 
 // unknownTag is a tag that matches no upstream of a route's services.
 type unknownTag struct {
@@ -103,17 +109,14 @@
 		return
 	}
 	key := unknownTag{service: seg.Flow.Service, tag: seg.Tag}
-	since, known := e.unknownTags[key]
-	switch {
-	case !known:
-		if len(e.unknownTags) >= unknownTagLimit {
-			clear(e.unknownTags)
-		}
-		e.unknownTags[key] = now
-	case e.roster.Complete(now, since):
+	since := e.unknownTags.Touch(now, key)
+	if since != nil && e.roster.Complete(now, *since) {
 		e.terminate(seg, f, nil, model.ReasonUpstreamGone)
 		return
 	}
+	if since == nil {
+		e.unknownTags.Put(now, key, now)
+	}
 	e.drop(seg, nil, model.ReasonTagUnknown)
 }
 
--- a/internal/core/direct/select.go
+++ b/internal/core/direct/select.go
@@ -24,8 +24,8 @@
 	return nil
 }
 
-// chooseFromService picks among the upstreams of one service that were not tried: reachable warm ones, then cold ones within their quota,
-// then unreachable ones, then one that was already tried.
+// chooseFromService picks among the upstreams of one service that were not tried: reachable warm ones, then reachable cold ones within their
+// quota, then unreachable warm ones, then unreachable cold ones within their quota, then one that was already tried.
 func (e *Engine) chooseFromService(now model.Instant, service model.ServiceID, f *flow) *roster.Upstream {
 	e.candidates = e.candidates[:0]
 	e.cold.candidates, e.unreachable = e.cold.candidates[:0], e.unreachable[:0]
@@ -41,23 +41,26 @@
 		}
 	}
 	if len(e.candidates) == 0 {
-		e.addColdCandidates(now)
+		e.addColdCandidates(now, true)
 	}
 	if len(e.candidates) == 0 {
 		for _, u := range e.unreachable {
 			e.addCandidate(u)
 		}
 	}
+	if len(e.candidates) == 0 {
+		e.addColdCandidates(now, false)
+	}
 	if len(e.candidates) == 0 {
 		return e.alreadyTried(now, service, f)
 	}
 	return e.candidates[e.policy.Pick(e.candidates, e.rng)].Value
 }
 
-// addColdCandidates adds the cold upstreams that this instance still has quota for.
-func (e *Engine) addColdCandidates(now model.Instant) {
+// addColdCandidates adds the cold upstreams that this instance still has quota for, either the reachable ones or the others.
+func (e *Engine) addColdCandidates(now model.Instant, reachable bool) {
 	for _, u := range e.cold.candidates {
-		if e.cold.allows(u, e.coldQuota(now, u)) {
+		if e.reachable(u) == reachable && e.cold.allows(u, e.coldQuota(now, u)) {
 			e.addCandidate(u)
 		}
 	}
--- a/internal/core/engine/answer.go
+++ b/internal/core/engine/answer.go
@@ -173,17 +173,22 @@
 		return
 	}
 	if home := e.home(a.Flow); home != e.cfg.Self.ID && home != "" {
-		e.emit(model.Action{Verb: model.VerbHandOffAnswer, Reason: model.ReasonHome, Answer: a, Peer: home})
+		e.emit(model.Action{Verb: model.VerbHandOffAnswer, Reason: model.ReasonHome, Answer: a, Peer: home, Binding: binding})
 		return
 	}
-	e.pendingReplies.Put(now, replyKey{flow: a.Flow, messageID: a.MessageID}, up)
+	e.expectReply(now, a, up)
 	e.emit(model.Action{Verb: model.VerbDeliver, Answer: a, Raw: a.Raw, Binding: binding})
 }
 
-// deliverAtHome delivers an answer that a peer handed off to this instance, the flow's home, and expects its acknowledgement.
-func (e *Engine) deliverAtHome(now model.Instant, a *model.Answer, up *upstream) {
+// expectReply records that the caller will acknowledge an answer, so that the acknowledgement is relayed to its upstream.
+func (e *Engine) expectReply(now model.Instant, a *model.Answer, up *upstream) {
 	if !e.pendingReplies.Put(now, replyKey{flow: a.Flow, messageID: a.MessageID}, up) {
 		e.countReason(model.ReasonFlowLimit)
 	}
+}
+
+// deliverAtHome delivers an answer that a peer handed off to this instance, the flow's home, and expects its acknowledgement.
+func (e *Engine) deliverAtHome(now model.Instant, a *model.Answer, up *upstream) {
+	e.expectReply(now, a, up)
 	e.emit(model.Action{Verb: model.VerbDeliver, Answer: a, Raw: a.Raw})
 }
--- a/internal/core/engine/exchange.go
+++ b/internal/core/engine/exchange.go
@@ -114,8 +114,8 @@
 		x.entry.State = once.StateRunning
 		x.entry.Tried = append(x.entry.Tried, up.cfg.ID)
 	}
-	x.service.retryChecks.Push(x)
-	x.service.deadlines.Push(x)
+	x.service.retryChecks.Push(retryCheck{exchange: x, sentAt: now})
+	x.service.deadlines.Push(x.deadline, x)
 	e.forward(x.packet, up)
 }
 
--- a/internal/core/engine/flow.go
+++ b/internal/core/engine/flow.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -231,10 +232,7 @@
 		all = append(all, ranked{up: up, score: rendez.WeightedScore(rendez.Key(key.Hash()), string(up.cfg.ID), float64(up.cfg.Connections))})
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.up.cfg.ID, b.up.cfg.ID))
 	})
 	order := make([]*upstream, 0, len(all))
 	for _, r := range all {
--- a/internal/core/engine/service.go
+++ b/internal/core/engine/service.go
@@ -34,10 +34,17 @@
 	budget     choose.RetryBudget
 	// waiting holds the requests that are queued for a slot.
 	waiting queue.Queue[*exchange]
-	// retryChecks and deadlines hold the forwarded requests in the order in which they were forwarded, until they are due for a retry and
-	// until their deadline.
-	retryChecks queue.Queue[*exchange]
-	deadlines   queue.Queue[*exchange]
+	// retryChecks holds the forwarded requests in the order in which they were forwarded, until they are due for a retry.
+	retryChecks queue.Queue[retryCheck]
+	// deadlines holds the forwarded requests until their deadline. A request that waited in the queue is forwarded later than others with a
+	// later deadline.
+	deadlines queue.Timed[*exchange]
+}
+
+// retryCheck is a check whether a request that was forwarded at sentAt has been answered.
+type retryCheck struct {
+	exchange *exchange
+	sentAt   model.Instant
 }
 
 // indexDocument rebuilds the tables derived from the document and keeps the state of services and upstreams that remain.
--- a/internal/core/engine/tick.go
+++ b/internal/core/engine/tick.go
@@ -41,8 +41,9 @@
 // expireRetryChecks backs off from upstreams that left a request unanswered for firstAnswerTimeout and retries idempotent requests at others.
 func (e *Engine) expireRetryChecks(now model.Instant, s *service) {
 	for s.retryChecks.Len() > 0 && now.Sub(s.retryChecks.Peek().sentAt) >= s.firstAnswerTimeout() {
-		x := s.retryChecks.Pop()
-		if x.done || !x.holdsSlot || now.Sub(x.sentAt) < s.firstAnswerTimeout() {
+		check := s.retryChecks.Pop()
+		x := check.exchange
+		if x.done || !x.holdsSlot || x.sentAt != check.sentAt {
 			continue
 		}
 		x.up.confirmedAt, x.up.suspect = 0, true
@@ -65,14 +66,17 @@
 		return
 	}
 	held := &exchange{packet: x.packet, service: x.service, up: first, holdsSlot: true, done: true, deadline: x.deadline}
-	x.service.deadlines.Push(held)
+	x.service.deadlines.Push(held.deadline, held)
 }
 
 // expireDeadlines ends the requests whose deadline has passed. Only then are the slots of unanswered requests freed, since the upstream
 // may have been running them.
 func (e *Engine) expireDeadlines(now model.Instant, s *service) {
-	for s.deadlines.Len() > 0 && s.deadlines.Peek().deadline <= now {
-		x := s.deadlines.Pop()
+	for {
+		x, due := s.deadlines.PopDue(now)
+		if !due {
+			return
+		}
 		if !x.done {
 			e.reportLost(now, x)
 		}
--- a/internal/core/engine/upstream.go
+++ b/internal/core/engine/upstream.go
@@ -65,7 +65,8 @@
 	utilisation gauge
 	// openedStreams counts the streams and flows that this instance recently assigned to it.
 	openedStreams window
-	// coldStreams counts the streams assigned to it since its boot was recorded, and the flows assigned to it during the cold start.
+	// coldStreams counts the streams that the present or a possible cold start must bear: those assigned since the boot was recorded or,
+	// after the cold start, since the boot was last confirmed, and the flows assigned during the cold start.
 	coldStreams int
 	// streams is the number of its streams and flows that this instance tracks.
 	streams int
@@ -158,6 +159,9 @@
 	}
 	if boot == 0 || boot == u.boot {
 		u.confirmedAt, u.backoff, u.suspect = now, 0, false
+		if now >= u.coldUntil {
+			u.coldStreams = 0
+		}
 		return false
 	}
 	restarted = u.boot != 0
--- a/internal/core/model/action.go
+++ b/internal/core/model/action.go
@@ -45,7 +45,7 @@
 	Address  netip.AddrPort
 	// Peer is set for VerbHandOff and VerbHandOffAnswer.
 	Peer InstanceID
-	// Binding is the encoded binding. It is set for VerbChallenge, and for VerbDeliver when a stream's binding is renewed.
+	// Binding is the encoded binding. It is set for VerbChallenge, and for VerbDeliver and VerbHandOffAnswer when a stream's binding is renewed.
 	Binding []byte
 	// RetryAfter is how long the caller should wait before it retries; set for VerbRefuse.
 	RetryAfter time.Duration
