--- a/internal/stand/tunnel/tunnel.go
+++ b/internal/stand/tunnel/tunnel.go
@@ -56,7 +56,10 @@
 
 // New starts a proxy that forwards connections until Close.
 func New(cfg Config) *Proxy {
-	p := &Proxy{listener: cfg.Listener, target: cfg.Target, serverName: cfg.ServerName, clientName: cfg.ClientName, links: cfg.Links, closed: make(chan struct{}), conns: map[net.Conn]string{}}
+	p := &Proxy{
+		listener: cfg.Listener, target: cfg.Target, serverName: cfg.ServerName, clientName: cfg.ClientName, links: cfg.Links,
+		closed: make(chan struct{}), conns: map[net.Conn]string{},
+	}
 	go p.serve()
 	return p
 }
