Queue packets in front of the instance's own link, and do not blame upstreams for it

Load pattern: uploads of 40 to 240 kB over links of 2 Mbit/s, each with a window of 16 packets in flight, beside short requests. Cause: packets and probes queued or were lost in front of the link. Ruled out: longer timeouts of probes, which leave the waiting and the repeated packets; the processor (0.002 of 0.038 cores used). A probe that times out while the link is full of arriving packets is inconclusive. Queued packets are dropped after a long stall; metrics, log field queueMs and two reasons.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -81,7 +81,9 @@
 	Timeout time.Duration
 	// Raw is the packet to forward.
 	Raw []byte
-	// Seq is the sequence number of the reset, which is the caller's last acknowledgement number; set for VerbReset.
+	// Ordered is set if the packet to forward carries data or ends the flow, so that it must not overtake others of its flow.
+	Ordered bool
+	// Seq is the sequence number of the data to forward or, for VerbReset, of the reset, which is the caller's last acknowledgement number.
 	Seq uint32
 }
 
@@ -299,7 +301,9 @@
 
 // forward forwards a packet of an open flow.
 func (e *Engine) forward(up *roster.Upstream, seg *model.Segment) {
-	e.actions = append(e.actions, Action{Verb: model.VerbForward, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag})
+	e.actions = append(e.actions, Action{
+		Verb: model.VerbForward, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag, Ordered: seg.Size > 0 || seg.Fin, Seq: seg.Seq,
+	})
 }
 
 // reset sends a reset to the caller of a flow; up is nil when no upstream is involved.
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -100,6 +100,10 @@
 	ReasonStale
 	// ReasonReceiveFailed means that receiving a datagram failed.
 	ReasonReceiveFailed
+	// ReasonEgressFull means that the queue in front of the instance's own link was full.
+	ReasonEgressFull
+	// ReasonCopyQueued marks a retransmission of data that is still in that queue.
+	ReasonCopyQueued
 	reasonCount
 )
 
@@ -147,6 +151,8 @@
 	ReasonKeyAhead:            "key_ahead",
 	ReasonStale:               "stale",
 	ReasonReceiveFailed:       "receive_failed",
+	ReasonEgressFull:          "egress_full",
+	ReasonCopyQueued:          "copy_queued",
 }
 
 // String returns the name of the reason as used in metrics and logs.
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -41,3 +41,26 @@
 	}
 	return item
 }
+
+// PopLast removes and returns the last item. It panics if the queue is empty.
+func (q *Queue[T]) PopLast() T {
+	var zero T
+	last := len(q.items) - 1
+	item := q.items[last]
+	q.items[last] = zero
+	q.items = q.items[:last]
+	if q.head == len(q.items) {
+		q.items, q.head = q.items[:0], 0
+	}
+	return item
+}
+
+// Contains reports whether match returns true for an item.
+func (q *Queue[T]) Contains(match func(*T) bool) bool {
+	for i := q.head; i < len(q.items); i++ {
+		if match(&q.items[i]) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -159,5 +159,7 @@
 	model.ReasonNotReady.String():            "The instance had just started and had no platform data yet, so the packet was dropped.",
 	model.ReasonRetryBudget.String():         "The upstream did not answer the opening packet, and the retry budget for trying further upstreams was exhausted.",
 	model.ReasonStale.String():               "The instance was stalled for a second or more while the packet was queued, so the packet was dropped.",
+	model.ReasonEgressFull.String():          "The instance's own link was congested and the queue in front of it was full, so the packet was dropped (see queueMs).",
+	model.ReasonCopyQueued.String():          "The caller retransmitted data that was still queued in front of the instance's own, congested link (see queueMs).",
 	model.ReasonFlowLimit.String():           "The instance had reached its flow limit, so the new flow was reset. No request was executed.",
 }
--- a/internal/peer/links/links.go
+++ b/internal/peer/links/links.go
@@ -29,23 +29,40 @@
 	in, out tally.Counter
 	// acceptFailed counts failed calls of Accept.
 	acceptFailed tally.Counter
+	// onSent is called with the bytes of each write.
+	onSent func(bytes int)
 
 	mu sync.Mutex
 	// clients holds at most maxClients entries and is guarded by mu.
 	clients map[netip.AddrPort]*rpc.Client
 }
 
-// New returns an empty pool. Its connections use the IP address of local as their source unless that is unspecified; name is the prefix of
-// its counters.
-func New(name string, local net.Addr, counts *count.Set) *Pool {
+// Config configures a Pool.
+type Config struct {
+	// Name is the prefix of the pool's counters.
+	Name string
+	// Local is the address whose IP address is the source of the connections, unless it is unspecified.
+	Local net.Addr
+	// Counts holds the counters.
+	Counts *count.Set
+	// OnSent, if not nil, is called with the bytes of each write.
+	OnSent func(bytes int)
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
 	p := &Pool{
-		in:           counts.Counter(name + ".bytes_in"),
-		out:          counts.Counter(name + ".bytes_out"),
-		acceptFailed: counts.Counter(name + ".accept_failed"),
+		in:           cfg.Counts.Counter(cfg.Name + ".bytes_in"),
+		out:          cfg.Counts.Counter(cfg.Name + ".bytes_out"),
+		acceptFailed: cfg.Counts.Counter(cfg.Name + ".accept_failed"),
+		onSent:       cfg.OnSent,
 		clients:      map[netip.AddrPort]*rpc.Client{},
 	}
+	if p.onSent == nil {
+		p.onSent = func(int) {}
+	}
 	p.dialer.Timeout = dialTimeout
-	if addr, ok := local.(*net.TCPAddr); ok && !addr.IP.IsUnspecified() {
+	if addr, ok := cfg.Local.(*net.TCPAddr); ok && !addr.IP.IsUnspecified() {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: addr.IP}
 	}
 	return p
@@ -133,13 +150,14 @@
 
 // CountBytes wraps conn so that its traffic is counted.
 func (p *Pool) CountBytes(conn net.Conn) net.Conn {
-	return countedConn{Conn: conn, in: p.in, out: p.out}
+	return countedConn{Conn: conn, in: p.in, out: p.out, onSent: p.onSent}
 }
 
 // countedConn counts the bytes read from and written to a connection.
 type countedConn struct {
 	net.Conn
 	in, out tally.Counter
+	onSent  func(bytes int)
 }
 
 func (c countedConn) Read(b []byte) (int, error) {
@@ -151,6 +169,7 @@
 func (c countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.out.Inc(int64(n))
+	c.onSent(n)
 	return n, err
 }
 
--- a/internal/peer/links/links_test.go
+++ b/internal/peer/links/links_test.go
@@ -43,7 +43,7 @@
 			service := &Slow{release: make(chan struct{})}
 			srv := rpc.NewServer()
 			is.NoErr(srv.Register(service))
-			p := links.New("test", l.Addr(), count.New())
+			p := links.New(links.Config{Name: "test", Local: l.Addr(), Counts: count.New()})
 			serving, stop := context.WithCancel(context.Background())
 			t.Cleanup(func() {
 				close(service.release)
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -96,7 +96,7 @@
 func New(cfg Config) *Mesh {
 	return &Mesh{
 		cfg:          cfg,
-		links:        links.New("mesh", cfg.Listener.Addr(), cfg.Counts),
+		links:        links.New(links.Config{Name: "mesh", Local: cfg.Listener.Addr(), Counts: cfg.Counts}),
 		pullRequests: ring.New[pullRequest](pullRingSize),
 		pushRequests: ring.New[struct{}](pushRingSize),
 		list:         member.New(cfg.Member),
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -47,6 +47,8 @@
 	Ordinals OrdinalAssigner
 	// LinkMbps is the speed of the instance's own link in Mbit/s; zero if unknown.
 	LinkMbps float64
+	// OnSent, if not nil, is called with the bytes of each write to a peer.
+	OnSent func(bytes int)
 	// OnSuspicion is called with each suspicion received from another instance.
 	OnSuspicion func(model.Suspicion)
 	// Counts holds the counters.
@@ -85,7 +87,7 @@
 // New returns a Share without a snapshot. It does not answer peers before Run is called.
 func New(cfg Config) *Share {
 	return &Share{
-		cfg: cfg, links: links.New("share", cfg.Listener.Addr(), cfg.Counts), fullReplyLimiter: newFullReplyLimiter(cfg.LinkMbps), changed: make(chan struct{}),
+		cfg: cfg, links: links.New(links.Config{Name: "share", Local: cfg.Listener.Addr(), Counts: cfg.Counts, OnSent: cfg.OnSent}), fullReplyLimiter: newFullReplyLimiter(cfg.LinkMbps), changed: make(chan struct{}),
 		suspicionLimiter: rate.NewLimiter(suspicionRate, suspicionRate), suspicionSeq: 1, seenSeqs: map[netip.AddrPort]uint64{},
 	}
 }
--- a/internal/run/relay/counters.go
+++ b/internal/run/relay/counters.go
@@ -30,7 +30,7 @@
 }
 
 // ioReasons are the reasons for drops outside the engine. Some of these drops are counted by goroutines other than the decision loop.
-var ioReasons = []model.Reason{model.ReasonMalformed, model.ReasonRingFull, model.ReasonSendFailed, model.ReasonReceiveFailed}
+var ioReasons = []model.Reason{model.ReasonMalformed, model.ReasonRingFull, model.ReasonSendFailed, model.ReasonReceiveFailed, model.ReasonEgressFull}
 
 func newActionCounters(set *count.Set) *actionCounters {
 	t := &actionCounters{set: set, counters: map[actionKey]tally.Counter{}, dropped: map[model.Reason]tally.Counter{}}
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -37,6 +37,7 @@
 			sleep(ctx, ringRetryDelay)
 			continue
 		}
+		r.receivedBytes.Add(int64(n) + datagramOverhead)
 		seg, err := r.cfg.Codec.Parse(append([]byte(nil), buf[:n]...))
 		if err != nil {
 			r.counters.drop(model.ReasonMalformed)
@@ -57,6 +58,7 @@
 		select {
 		case seg := <-r.segments.Items():
 			r.handlePacket(ctx, &seg)
+			r.transmitQueued(r.now())
 			if r.segments.Len() > 0 {
 				// Queued answers are handled before the timers that would count them as missing.
 				continue
@@ -73,6 +75,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		r.transmitQueued(r.now())
 		r.logEvents(r.now())
 		r.collectSuspicions()
 		wait := r.untilTick()
@@ -90,26 +93,35 @@
 	if delay > share.CallMargin {
 		r.engine.SetOrdinal(model.Ordinal{}, 0)
 	}
+	if delay > staleThreshold {
+		r.discardQueued()
+	}
 }
 
-// untilTick returns the time to the engine's next deadline, at most tickInterval.
+// untilTick returns the time to the engine's next deadline or to the next queued datagram, at most tickInterval.
 func (r *Relay) untilTick() time.Duration {
-	at, ok := r.engine.NextDeadline()
-	if !ok {
-		return tickInterval
+	now, wait := r.now(), tickInterval
+	if at, ok := r.engine.NextDeadline(); ok {
+		wait = min(wait, max(at.Sub(now), 0))
+	}
+	if untilTransmit, ok := r.untilTransmit(now); ok {
+		wait = min(wait, untilTransmit)
 	}
-	return min(max(at.Sub(r.now()), 0), tickInterval)
+	return wait
 }
 
 // handlePacket passes a packet to the engine, or drops it if it was queued during a long stall.
 func (r *Relay) handlePacket(ctx context.Context, seg *model.Segment) {
 	now := r.now()
 	r.lastPacket.Store(int64(now))
-	if r.stall.stale(now) {
+	switch {
+	case r.stall.stale(now):
 		r.act(ctx, now, []direct.Action{{Verb: model.VerbDrop, Reason: model.ReasonStale, Flow: seg.Flow, Tag: seg.Tag}})
-		return
+	case r.copyQueued(seg):
+		r.act(ctx, now, []direct.Action{{Verb: model.VerbDrop, Reason: model.ReasonCopyQueued, Flow: seg.Flow, Tag: seg.Tag}})
+	default:
+		r.act(ctx, now, r.engine.Packet(now, seg))
 	}
-	r.act(ctx, now, r.engine.Packet(now, seg))
 }
 
 // act carries out, counts and logs the engine's actions.
@@ -121,10 +133,11 @@
 		switch a.Verb {
 		case model.VerbForward:
 			r.datagram = r.cfg.Codec.AppendForward(r.datagram[:0], a.Raw, a.Upstream.Number, a.Upstream.Tag)
-			r.send(a.Upstream.Address)
+			r.transmit(now, a, a.Upstream.Address)
 		case model.VerbReset:
+			r.egress.Forget(a.Flow)
 			r.datagram = r.cfg.Codec.AppendReset(r.datagram[:0], a.Flow, a.Seq)
-			r.send(netip.AddrPortFrom(a.Flow.Caller.Addr(), r.cfg.Packets.Port()))
+			r.transmit(now, a, netip.AddrPortFrom(a.Flow.Caller.Addr(), r.cfg.Packets.Port()))
 		case model.VerbProbe:
 			r.probe(ctx, a.Upstream, a.Timeout)
 		default:
@@ -135,12 +148,6 @@
 	}
 }
 
-// send sends the datagram in the send buffer.
-func (r *Relay) send(to netip.AddrPort) {
-	if _, err := r.packets.WriteToUDPAddrPort(r.datagram, to); err != nil {
-		r.counters.drop(model.ReasonSendFailed)
-	}
-}
 
 // requestRefresh asks the follow goroutine to refresh the snapshot early.
 func (r *Relay) requestRefresh() {
--- a/internal/run/relay/limits.go
+++ b/internal/run/relay/limits.go
@@ -43,7 +43,10 @@
 	r.limits.Store(&l)
 	r.pendingLimits.Store(&l)
 	r.share.SetLinkMbps(l.LinkMbps)
-	r.submit(ctx, func(model.Instant) { r.engine.SetLimits(l.engineLimits()) })
+	r.submit(ctx, func(model.Instant) {
+		r.engine.SetLimits(l.engineLimits())
+		r.egress.SetLinkMbps(l.LinkMbps)
+	})
 }
 
 // applyLimits applies changed limits to the scheduler. If the staleness bound has changed, all ordinals are reset, as they were assigned with
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -7,17 +7,18 @@
 	"syscall"
 	"time"
 
+	"hawthorncourse/internal/core/egress"
 	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
 
 // probe checks in the background whether an upstream accepts a TCP connection, which takes none of its slots. A timeout is inconclusive if
-// the process was stalled meanwhile.
+// the process was stalled meanwhile, or if the instance's own link was saturated by arriving packets, behind which the answer waits.
 func (r *Relay) probe(ctx context.Context, u *roster.Upstream, timeout time.Duration) {
 	address := u.Address.String()
 	go func() {
-		start := r.now()
+		start, received := r.now(), r.receivedBytes.Load()
 		dialer := net.Dialer{Timeout: timeout}
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		outcome := health.OutcomeAnswered
@@ -28,6 +29,9 @@
 			outcome = health.OutcomeFailed
 		case model.Instant(r.lastStall.Load()) >= start || r.now().Sub(start) > timeout+stallThreshold:
 			outcome = health.OutcomeInconclusive
+		case egress.Saturated(r.limits.Load().LinkMbps, r.receivedBytes.Load()-received, r.now().Sub(start)):
+			r.counts.Counter("upstream.probe_saturated").Inc(1)
+			outcome = health.OutcomeInconclusive
 		default:
 			outcome = health.OutcomeFailed
 		}
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -72,6 +72,9 @@
 	if a.Tag != 0 {
 		fields["tag"] = a.Tag
 	}
+	if _, delay := r.egress.Queued(); delay > 0 {
+		fields["queueMs"] = delay.Milliseconds()
+	}
 	if a.Attempt > 0 {
 		fields["choices"], fields["offered"] = a.Candidates, a.Attempt
 	}
@@ -163,6 +166,9 @@
 	}
 	r.counts.Gauge("upstreams.barred").Update(float64(ejected))
 	r.counts.Gauge("flows").Update(float64(r.engine.FlowCount()))
+	queued, delay := r.egress.Queued()
+	r.counts.Gauge("egress.queued_bytes").Update(float64(queued))
+	r.counts.Gauge("egress.delay_seconds").Update(delay.Seconds())
 	r.counts.Gauge("knowledge.age_seconds").Update(now.Sub(model.Instant(r.confirmedAt.Load())).Seconds())
 	r.counts.Gauge("knowledge.revision").Update(float64(r.revision.Load()))
 }
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -21,6 +21,7 @@
 	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/base/ring"
 	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/egress"
 	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
@@ -158,8 +159,11 @@
 	stall *stallDetector
 	// handshakes and answers are the histograms of the latencies that the engine measures.
 	handshakes, answers tally.Histogram
-	// datagram is the send buffer of the decision loop.
+	// datagram is the send buffer of the decision loop, and egress the queue in front of the instance's own link, which the same loop uses.
 	datagram []byte
+	egress   *egress.Scheduler[outgoing]
+	// receivedBytes counts the bytes of received packets, and callBytes those sent in calls between instances that egress does not know yet.
+	receivedBytes, callBytes atomic.Int64
 }
 
 // command is a function that the decision loop runs.
@@ -185,6 +189,7 @@
 		suspicions: ring.New[model.Suspicion](suspicionRingSize),
 		refresh:    make(chan struct{}, 1),
 		stall:      newStallDetector(bootClock),
+		egress:     egress.New[outgoing](cfg.LinkMbps),
 	}
 	r.limits.Store(&cfg.Limits)
 	r.ordinal.Store(&model.Ordinal{})
@@ -204,7 +209,10 @@
 		return nil, err
 	}
 	r.ordinals = newOrdinalAllocator(r.scheduler, r.now)
-	r.share = share.New(share.Config{Self: cfg.Instance, Listener: r.control, Ordinals: r.ordinals, LinkMbps: cfg.LinkMbps, OnSuspicion: r.handleSuspicion, Counts: r.counts})
+	r.share = share.New(share.Config{
+		Self: cfg.Instance, Listener: r.control, Ordinals: r.ordinals, LinkMbps: cfg.LinkMbps, OnSuspicion: r.handleSuspicion, Counts: r.counts,
+		OnSent: func(bytes int) { r.callBytes.Add(int64(bytes)) },
+	})
 	return r, nil
 }
 
