Read routes and domains only when the changes of upstreams leave revisions unexplained

Cause: each read that found a new revision made three calls for changes, although mostly upstreams had changed. Ruled out: one watch for all kinds, which the store does not have; trusting an empty watch, which proves nothing. Change: every change has a revision of its own; if the upstreams' changes cover each revision since the last read, nothing else has changed (fresh.Accounted).

--- a/internal/core/fresh/caughtup_test.go
+++ b/internal/core/fresh/caughtup_test.go
@@ -28,3 +28,25 @@
 		})
 	}
 }
+
+// TestAccounted checks whether the changes of one kind explain every revision of the store from 11 to 14.
+func TestAccounted(t *testing.T) {
+	cases := map[string]struct {
+		revisions []model.Revision
+		want      bool
+	}{
+		"every revision":                      {revisions: []model.Revision{11, 12, 13, 14}, want: true},
+		"in any order, and some twice":        {revisions: []model.Revision{14, 12, 12, 11, 13}, want: true},
+		"with earlier and later ones":         {revisions: []model.Revision{9, 10, 11, 12, 13, 14, 15}, want: true},
+		"one revision is of another kind":     {revisions: []model.Revision{11, 12, 14}},
+		"the last one is of another kind":     {revisions: []model.Revision{11, 12, 13}},
+		"the first one is of another kind":    {revisions: []model.Revision{12, 13, 14, 15}},
+		"as many revisions, but not the same": {revisions: []model.Revision{9, 10, 11, 12}},
+		"no change":                           {},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(fresh.Accounted(10, 14, tc.revisions), tc.want)
+		})
+	}
+}
--- a/internal/core/model/listing.go
+++ b/internal/core/model/listing.go
@@ -18,6 +18,8 @@
 	Unreadable []string
 	// Newest is the revision of the last change; zero if there is none.
 	Newest Revision
+	// Revisions holds the revision of each change, also of those that a later change of the same object replaced.
+	Revisions []Revision
 	// Revision is the revision up to which the changes are complete.
 	Revision Revision
 }
--- a/internal/run/relay/read.go
+++ b/internal/run/relay/read.go
@@ -54,14 +54,24 @@
 	return snap, list.Items, err
 }
 
-// catchUp updates a snapshot by reading only the changes since its revision. ok is false if the store withholds changes or no longer has
-// them; everything has to be read then.
+// catchUp updates a snapshot by reading only the changes since its revision. Upstreams change far more often than the rest, which is read only
+// if their changes do not account for every new revision. ok is false if the store withholds changes or no longer has them; everything has
+// to be read then.
 func (r *Relay) catchUp(ctx context.Context, have model.Snapshot, records *model.Listing[model.ReaderRecord]) (snap model.Snapshot, ok bool) {
 	var upstreams model.Changes[model.Registration]
 	var routes model.Changes[model.RouteTable]
 	var out model.Changes[model.DomainID]
+	if readChanges(ctx, r, r.cfg.Upstreams, have.Revision, &upstreams) != nil {
+		return snap, false
+	}
+	if fresh.Accounted(have.Revision, records.Revision, upstreams.Revisions) {
+		snap = have
+		snap.Upstreams = have.Upstreams.Apply(upstreams, model.UpstreamName)
+		snap.OutRevision = max(have.OutRevision, records.Revision)
+		r.reportUnreadable(len(upstreams.Unreadable), nil)
+		return snap, true
+	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return readChanges(ctx, r, r.cfg.Upstreams, have.Revision, &upstreams) })
 	g.Go(func() error { return readChanges(ctx, r, r.cfg.Routes, have.Revision, &routes) })
 	g.Go(func() error { return readChanges(ctx, r, r.cfg.DomainsOut, have.Revision, &out) })
 	if g.Wait() != nil {
--- a/internal/run/relay/read_test.go
+++ b/internal/run/relay/read_test.go
@@ -94,3 +94,60 @@
 		})
 	}
 }
+
+// countingSource counts the calls for changes of a source.
+type countingSource[T any] struct {
+	fakeSource[T]
+	calls *int
+}
+
+// ChangesSince implements Source.
+func (s countingSource[T]) ChangesSince(ctx context.Context, after model.Revision) (model.Changes[T], error) {
+	*s.calls++
+	return s.fakeSource.ChangesSince(ctx, after)
+}
+
+// TestCallsAfterChanges checks that routes and failure domains are read only if the changes of upstreams do not account for every new revision.
+// Calls to the store are limited and paid for, and upstreams change all the time.
+func TestCallsAfterChanges(t *testing.T) {
+	upstreams := func(revisions ...model.Revision) model.Changes[model.Registration] {
+		c := model.Changes[model.Registration]{Revision: 184, Revisions: revisions}
+		for _, rev := range revisions {
+			c.Newest = max(c.Newest, rev)
+			c.Items = append(c.Items, model.Registration{ID: "a", Revision: rev})
+		}
+		return c
+	}
+	later := model.Changes[model.RouteTable]{Items: []model.RouteTable{{Version: 5, Revision: 183}}, Newest: 183, Revisions: []model.Revision{183}, Revision: 184}
+	cases := map[string]struct {
+		upstreams model.Changes[model.Registration]
+		routes    model.Changes[model.RouteTable]
+		calls     int
+		version   model.Version
+	}{
+		"upstreams only":       {upstreams: upstreams(182, 183, 184), routes: model.Changes[model.RouteTable]{Revision: 184}, calls: 1, version: 3},
+		"upstreams and routes": {upstreams: upstreams(182, 184), routes: later, calls: 3, version: 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			calls := 0
+			r := &Relay{
+				cfg: Config{
+					ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 184}},
+					Upstreams:     countingSource[model.Registration]{fakeSource[model.Registration]{since: tc.upstreams}, &calls},
+					Routes:        countingSource[model.RouteTable]{fakeSource[model.RouteTable]{since: tc.routes}, &calls},
+					DomainsOut:    countingSource[model.DomainID]{fakeSource[model.DomainID]{since: model.Changes[model.DomainID]{Revision: 184}}, &calls},
+				},
+				log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(),
+				snapshot: model.Snapshot{Revision: 181, Routes: model.RouteTable{Version: 3, Revision: 5}},
+			}
+			snap, _, err := r.readSnapshot(context.Background())
+			is.NoErr(err)
+			is.Equal(calls, tc.calls)
+			is.Equal(snap.Revision, model.Revision(184))
+			is.Equal(snap.Routes.Version, tc.version)
+			is.True(len(snap.Upstreams.Items) > 0)
+		})
+	}
+}
