Hold packets of upstreams that an instance does not know yet

Load pattern: all instances lose power for a second; every caller waits for its next retransmission, whose interval has grown to a second. Cause: an instance serves after the first page of the registry, and dropped the retransmissions of open flows on all other upstreams (reason tag_unknown); the callers' next copies came after up to 1.6 s or after the deadline. Starting took 0.3 to 0.45 s with 0.045 of a core: the console's templates were parsed by every process, and the first read of the registry logged one line for each upstream. Ruled out: the upstreams' capacity (2,400 requests wait, 37,000 a second can be served); the router; readiness before the first page. Change: direct/hold.go: a SYN is held until its next copy is due, other packets half a second, 512 in all; they are handled again when the registry changes; templates are parsed at the first use; the first read logs one line. Measured: go test ./internal/core/direct -run 'Held|Hold|Return': fail before (packets dropped), pass after. The expectations of two cases of TestPacket and of TestEarlyPackets changed from 'dropped' to 'held and never forwarded'; TestHeldUntilReady and TestHoldLimit check the bounds for each kind of packet.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -65,7 +65,7 @@
 
 // Action is one decision of the engine, for the caller to carry out.
 type Action struct {
-	// Verb is VerbForward, VerbReset, VerbDrop or VerbProbe.
+	// Verb is VerbForward, VerbReset, VerbDrop, VerbProbe or VerbHold.
 	Verb   model.Verb
 	Reason model.Reason
 	Flow   model.FlowKey
@@ -146,8 +146,8 @@
 	activeProbes int
 	// ready is set once routes, upstreams and failure domains are known.
 	ready bool
-	// earlyPackets holds the packets received before the engine is ready; at most earlyPacketLimit.
-	earlyPackets []earlyPacket
+	// held holds the packets that wait until the engine is ready or until their upstream is known; at most holdLimit.
+	held []heldPacket
 	actions      []Action
 	events       []Event
 	samples      []Sample
@@ -200,35 +200,17 @@
 	return e.roster
 }
 
-// SetReady starts the handling of packets, including those queued so far. The actions are valid until the next call.
+// SetReady starts the handling of packets, including those held so far. The actions are valid until the next call.
 func (e *Engine) SetReady(now model.Instant) []Action {
 	e.actions = e.actions[:0]
 	if e.ready {
 		return nil
 	}
 	e.ready = true
-	for i := range e.earlyPackets {
-		if early := &e.earlyPackets[i]; now.Sub(early.at) <= earlyPacketTTL {
-			e.dispatch(now, &early.seg)
-		}
-	}
-	e.earlyPackets = nil
+	e.releaseHeld(now)
 	return e.actions
 }
 
-const (
-	// earlyPacketLimit bounds the packets queued until the instance is ready; handling more would take longer than their callers wait.
-	earlyPacketLimit = 512
-	// earlyPacketTTL is how long a packet is queued: callers retransmit a SYN after 200 ms, which makes the queued one useless.
-	earlyPacketTTL = 200 * time.Millisecond
-)
-
-// earlyPacket is a packet received before the engine was ready.
-type earlyPacket struct {
-	at  model.Instant
-	seg model.Segment
-}
-
 // FlowCount returns the number of flows tracked.
 func (e *Engine) FlowCount() int {
 	return e.flows.Len()
@@ -285,6 +267,7 @@
 func (e *Engine) Tick(now model.Instant) []Action {
 	e.actions = e.actions[:0]
 	e.expireHandshakes(now)
+	e.expireHeld(now)
 	e.roster.ExpireTags(now)
 	e.startDueProbes(now)
 	e.cold.expire(now)
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -11,16 +11,13 @@
 // maxInFlightPackets is the most data packets that a caller has in flight; if more pass, the upstream must have acknowledged earlier ones.
 const maxInFlightPackets = 16
 
-// Packet handles one packet; the actions are valid until the next call. Before SetReady, packets are queued.
+// Packet handles one packet; the actions are valid until the next call. Before SetReady, packets are held.
 func (e *Engine) Packet(now model.Instant, seg *model.Segment) []Action {
 	e.actions = e.actions[:0]
-	switch {
-	case e.ready:
+	if e.ready {
 		e.dispatch(now, seg)
-	case len(e.earlyPackets) < earlyPacketLimit:
-		e.earlyPackets = append(e.earlyPackets, earlyPacket{at: now, seg: *seg})
-	default:
-		e.drop(seg, nil, model.ReasonNotReady)
+	} else {
+		e.hold(now, seg, model.ReasonNotReady)
 	}
 	return e.actions
 }
@@ -101,8 +98,8 @@
 	tag     model.RoutingTag
 }
 
-// handleUnresolved handles a packet whose upstream is not known. The packet is dropped at first, as the upstream may be so new that only
-// other instances know it. Once the registry has been confirmed since the tag was first seen, the upstream has ended and the flow is reset.
+// handleUnresolved handles a packet whose upstream is not known. The packet is held at first, as the upstream may be so new that only
+// other instances know it, or this instance may still be reading the registry. Once the registry has been confirmed since the tag was first seen, the upstream has ended and the flow is reset.
 func (e *Engine) handleUnresolved(now model.Instant, seg *model.Segment, f *flow) {
 	if seg.Tag == 0 {
 		e.drop(seg, nil, model.ReasonTagMissing)
@@ -117,7 +114,7 @@
 	if since == nil {
 		e.unknownTags.Put(now, key, now)
 	}
-	e.drop(seg, nil, model.ReasonTagUnknown)
+	e.hold(now, seg, model.ReasonTagUnknown)
 }
 
 // terminate removes the flow of a packet that cannot be forwarded, and resets it so that its caller need not wait for a timeout. A packet
--- a/internal/core/model/action.go
+++ b/internal/core/model/action.go
@@ -8,7 +8,7 @@
 // Verb is the kind of an Action.
 type Verb uint8
 
-// Verbs of Action. VerbForward, VerbReset, VerbDrop and VerbProbe are also the verbs of direct.Action, which has fields of its own.
+// Verbs of Action. VerbForward, VerbReset, VerbDrop, VerbProbe and VerbHold are also the verbs of direct.Action, which has fields of its own.
 const (
 	// VerbForward forwards Packet to Upstream at Address.
 	VerbForward Verb = iota + 1
@@ -30,6 +30,8 @@
 	VerbReset
 	// VerbProbe probes whether an upstream is reachable.
 	VerbProbe
+	// VerbHold keeps a packet for a short time, until it can be decided upon.
+	VerbHold
 )
 
 // Action is one step that a decision engine asks its caller to carry out.
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -100,6 +100,8 @@
 	ReasonStale
 	// ReasonReceiveFailed means that receiving a datagram failed.
 	ReasonReceiveFailed
+	// ReasonHeldTooLong means that a held packet could not be decided upon in time.
+	ReasonHeldTooLong
 	// ReasonEgressFull means that the queue in front of the instance's own link was full.
 	ReasonEgressFull
 	// ReasonCopyQueued marks a retransmission of data that is still in that queue.
@@ -151,6 +153,7 @@
 	ReasonKeyAhead:            "key_ahead",
 	ReasonStale:               "stale",
 	ReasonReceiveFailed:       "receive_failed",
+	ReasonHeldTooLong:         "held_too_long",
 	ReasonEgressFull:          "egress_full",
 	ReasonCopyQueued:          "copy_queued",
 }
--- a/internal/oper/forms/forms.go
+++ b/internal/oper/forms/forms.go
@@ -8,6 +8,7 @@
 	"errors"
 	"html/template"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,7 +29,10 @@
 //go:embed pages.html
 var pagesText string
 
-var pages = template.Must(template.New("pages").Parse(pagesText))
+// pages returns the parsed templates. They are parsed at the first use, as every process of the program would pay for it at its start.
+var pages = sync.OnceValue(func() *template.Template {
+	return template.Must(template.New("pages").Parse(pagesText))
+})
 
 // Config holds the settings and dependencies of a Console.
 type Config struct {
@@ -166,7 +170,7 @@
 func (c *Console) render(w http.ResponseWriter, name string, page any) {
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
 	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'")
-	if err := pages.ExecuteTemplate(w, name, page); err != nil {
+	if err := pages().ExecuteTemplate(w, name, page); err != nil {
 		c.cfg.Log.With("error", err).Error("Page could not be rendered.")
 	}
 }
--- a/internal/run/relay/bootstrap.go
+++ b/internal/run/relay/bootstrap.go
@@ -8,8 +8,7 @@
 )
 
 // bootstrap lets an instance serve before its first read is complete, as soon as it has the routes, the failure domains that are out of
-// service, and the first page of the upstreams. Packets of flows to the remaining upstreams are dropped until the read is complete; callers
-// retransmit them.
+// service, and the first page of the upstreams. Packets of flows to the remaining upstreams are held until the read is complete.
 type bootstrap struct {
 	relay *Relay
 	ctx   context.Context
@@ -57,7 +56,9 @@
 	r.submit(b.ctx, func(now model.Instant) {
 		r.engine.Roster().SetOut(now, out)
 		r.engine.Roster().Add(now, pending)
+		r.discardStateChanges()
 		r.engine.SetRoutes(table)
 		r.startServing(b.ctx, now)
+		r.act(b.ctx, now, r.engine.ReleaseHeld(now))
 	})
 }
--- a/internal/run/relay/counters.go
+++ b/internal/run/relay/counters.go
@@ -13,6 +13,7 @@
 	model.VerbReset:   "flow.reset",
 	model.VerbDrop:    "flow.drop",
 	model.VerbProbe:   "upstream.probe",
+	model.VerbHold:    "flow.hold",
 }
 
 // actionCounters holds one counter per verb and reason.
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -140,7 +140,7 @@
 			r.transmit(now, a, netip.AddrPortFrom(a.Flow.Caller.Addr(), r.cfg.Packets.Port()))
 		case model.VerbProbe:
 			r.probe(ctx, a.Upstream, a.Timeout)
-		default:
+		case model.VerbHold:
 			if a.Reason == model.ReasonTagUnknown {
 				r.requestRefresh()
 			}
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -244,11 +244,21 @@
 		}
 		r.engine.Roster().Confirm(now, arrived.Add(-snap.Age))
 		if first {
+			r.discardStateChanges()
+			r.logger("platform").With("upstreams", len(snap.Upstreams.Items)).With("revision", snap.Revision).With("ageMs", snap.Age.Milliseconds()).
+				Info("The first snapshot of the platform's store is complete.")
 			r.startServing(ctx, now)
 		}
+		r.act(ctx, now, r.engine.ReleaseHeld(now))
 	})
 }
 
+// discardStateChanges discards the state changes of upstreams that the first read of the registry causes: one log line each would take a
+// starting instance longer than the read itself. It runs in the decision loop.
+func (r *Relay) discardStateChanges() {
+	r.engine.Roster().TakeStateChanges()
+}
+
 // startServing makes the instance ready. It does nothing after the first call. It runs in the decision loop.
 func (r *Relay) startServing(ctx context.Context, now model.Instant) {
 	if r.engineReady {
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -23,6 +23,7 @@
 	kindResend = "resend"
 	kindReset  = "reset"
 	kindDrop   = "drop"
+	kindHold   = "hold"
 )
 
 // messages holds the log message of each kind of decision.
@@ -31,6 +32,7 @@
 	kindResend: "The opening packet of a flow was resent to another upstream.",
 	kindReset:  "A flow was reset.",
 	kindDrop:   "A packet was dropped.",
+	kindHold:   "A packet is held until it can be decided upon.",
 }
 
 // recorder writes the rate-limited log of decisions and state changes; only the decision loop uses it.
@@ -47,6 +49,8 @@
 		return kindReset
 	case a.Verb == model.VerbDrop:
 		return kindDrop
+	case a.Verb == model.VerbHold:
+		return kindHold
 	case a.Attempt == 1:
 		return kindPlace
 	case a.Attempt > 1:
