--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -147,10 +147,10 @@
 	// ready is set once routes, upstreams and failure domains are known.
 	ready bool
 	// held holds the packets that wait until the engine is ready or until their upstream is known; at most holdLimit.
-	held []heldPacket
-	actions      []Action
-	events       []Event
-	samples      []Sample
+	held    []heldPacket
+	actions []Action
+	events  []Event
+	samples []Sample
 	// resetQueue is a buffer reused by resetWaitingFlows.
 	resetQueue []model.FlowKey
 	// candidates is a buffer reused between choices.
--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -177,6 +177,12 @@
 	}
 }
 
+// StartFromReader records that the first data came from the reader that the record names; age is that of the data.
+func (s *Scheduler) StartFromReader(now model.Instant, record model.ReaderRecord, age time.Duration) {
+	s.record, s.recordRead, s.storeNext = record, true, false
+	s.nextAt, s.confirmedAt = now, now.Add(-age)
+}
+
 // FinishReaderPoll records the outcome of a poll of the reader; age is that of the reader's data.
 func (s *Scheduler) FinishReaderPoll(now model.Instant, age time.Duration, ok bool) {
 	s.nextAt = now
--- a/internal/peer/links/links.go
+++ b/internal/peer/links/links.go
@@ -93,6 +93,12 @@
 	}
 }
 
+// Connect opens a connection to the peer at addr if there is none.
+func (p *Pool) Connect(ctx context.Context, addr netip.AddrPort) error {
+	_, err := p.client(ctx, addr)
+	return err
+}
+
 // client returns the connection to addr, and opens one if there is none.
 func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
 	p.mu.Lock()
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -129,6 +129,11 @@
 	s.changed = make(chan struct{})
 }
 
+// Connect opens a connection to the peer for later polls.
+func (s *Share) Connect(ctx context.Context, peer netip.AddrPort) error {
+	return s.links.Connect(ctx, peer)
+}
+
 // Poll waits up to wait for the peer's next publication or suspicion. It returns have, the caller's snapshot, with the peer's changes applied.
 func (s *Share) Poll(ctx context.Context, peer netip.AddrPort, have model.Snapshot, wait time.Duration) (snap model.Snapshot, err error) {
 	defer func() {
--- a/internal/run/relay/bootstrap.go
+++ b/internal/run/relay/bootstrap.go
@@ -12,10 +12,16 @@
 type bootstrap struct {
 	relay *Relay
 	ctx   context.Context
+	// current is a revision of the store from after the start. Parts that are older may name upstreams that have left, so nothing is served from
+	// them.
+	current model.Revision
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 
+	// outdated is set once a part was older than current.
+	outdated bool
+
 	table *model.RouteTable
 	// out holds the failure domains that are out of service; outRead is set once they have been read, as the list may be empty.
 	out     []model.DomainID
@@ -24,31 +30,32 @@
 	pending []model.Registration
 }
 
-// routes adds the route table.
-func (b *bootstrap) routes(t model.RouteTable) {
-	b.update(func() { b.table = &t })
+// routes adds the route table, which is complete up to a revision.
+func (b *bootstrap) routes(t model.RouteTable, rev model.Revision) {
+	b.update(rev, func() { b.table = &t })
 }
 
-// domainsOut adds the failure domains that are out of service.
-func (b *bootstrap) domainsOut(list []model.DomainID) {
-	b.update(func() { b.out, b.outRead = list, true })
+// domainsOut adds the failure domains that are out of service, which are complete up to a revision.
+func (b *bootstrap) domainsOut(list []model.DomainID, rev model.Revision) {
+	b.update(rev, func() { b.out, b.outRead = list, true })
 }
 
-// upstreams adds a page of the upstreams.
-func (b *bootstrap) upstreams(list []model.Registration) {
-	b.update(func() { b.pending = append(b.pending, list...) })
+// upstreams adds a page of the upstreams that was read at a revision.
+func (b *bootstrap) upstreams(list []model.Registration, rev model.Revision) {
+	b.update(rev, func() { b.pending = append(b.pending, list...) })
 }
 
-// update runs set. Once routes, failure domains and upstreams are available, it passes the new ones to the engine and makes the instance
-// ready. It does nothing if b is nil, which is the case for an instance that is already serving.
-func (b *bootstrap) update(set func()) {
+// update runs set. Once routes, failure domains and upstreams are available and none is outdated, it passes the new ones to the engine and
+// makes the instance ready. It does nothing if b is nil, which is the case for an instance that is already serving.
+func (b *bootstrap) update(rev model.Revision, set func()) {
 	if b == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	set()
-	if b.table == nil || !b.outRead || len(b.pending) == 0 {
+	b.outdated = b.outdated || rev < b.current
+	if b.outdated || b.table == nil || !b.outRead || len(b.pending) == 0 {
 		return
 	}
 	r, table, out, pending := b.relay, *b.table, b.out, b.pending
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -148,7 +148,6 @@
 	}
 }
 
-
 // requestRefresh asks the follow goroutine to refresh the snapshot early.
 func (r *Relay) requestRefresh() {
 	select {
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -86,7 +86,19 @@
 	start := f.now()
 	readCtx, cancel := f.withIdleTimeout(ctx, f.scheduler.StoreTimeout())
 	defer cancel()
-	next, records, err := f.readSnapshot(readCtx)
+	next, records, err := f.currentSnapshot(), []model.ReaderRecord(nil), error(nil)
+	if next.Revision == 0 {
+		var list model.Listing[model.ReaderRecord]
+		if list, err = countingRead(f.Relay, f.cfg.ReaderRecords.Read)(readCtx); err == nil {
+			if f.startFromReader(ctx, f.ownRecord(list.Items)) {
+				return
+			}
+			records = list.Items
+			next, err = f.readFirst(readCtx, list)
+		}
+	} else {
+		next, records, err = f.readSnapshot(readCtx, next)
+	}
 	now := f.now()
 	if ctx.Err() != nil {
 		return
--- a/internal/run/relay/read.go
+++ b/internal/run/relay/read.go
@@ -17,27 +17,9 @@
 	catchUpFactor = 3
 )
 
-// readSnapshot returns the current contents of the store. It reads the reader records first: their list carries the store's revision, so
-// nothing else has to be read if that has not changed.
-func (r *Relay) readSnapshot(ctx context.Context) (snap model.Snapshot, records []model.ReaderRecord, err error) {
-	have := r.currentSnapshot()
-	if have.Revision == 0 {
-		// There is no snapshot yet: all kinds are read in parallel, to serve as soon as possible.
-		g, readCtx := errgroup.WithContext(ctx)
-		var list model.Listing[model.ReaderRecord]
-		g.Go(func() (err error) {
-			list, err = countingRead(r, r.cfg.ReaderRecords.Read)(readCtx)
-			return err
-		})
-		g.Go(func() (err error) {
-			snap, err = r.readAll(readCtx, &bootstrap{relay: r, ctx: ctx})
-			return err
-		})
-		err = g.Wait()
-		// The parts may be of different revisions: the next read continues from the oldest.
-		snap.Revision = min(list.Revision, snap.Revision)
-		return snap, list.Items, err
-	}
+// readSnapshot returns the current contents of the store, given the contents at an earlier revision. It reads the reader records first: their
+// list carries the store's revision, so nothing else has to be read if that has not changed.
+func (r *Relay) readSnapshot(ctx context.Context, have model.Snapshot) (snap model.Snapshot, records []model.ReaderRecord, err error) {
 	start := r.now()
 	list, err := countingRead(r, r.cfg.ReaderRecords.Read)(ctx)
 	if err != nil || list.Revision == have.Revision {
@@ -111,37 +93,31 @@
 }
 
 // readAll reads the complete lists of upstreams, routes and failure domains in parallel. The snapshot's revision is the oldest of theirs.
-// If b is not nil, the parts also go to b as they arrive.
+// If b is not nil, the lists may be seconds old, and the parts also go to b as they arrive.
 func (r *Relay) readAll(ctx context.Context, b *bootstrap) (snap model.Snapshot, err error) {
 	snap.Routes = r.currentSnapshot().Routes
 	var routesAt model.Revision
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
-		read := r.cfg.Upstreams.Read
-		if b != nil {
-			read = func(ctx context.Context) (model.Listing[model.Registration], error) {
-				return r.cfg.Upstreams.ReadPaged(ctx, b.upstreams)
-			}
-		}
-		snap.Upstreams, err = countingRead(r, read)(ctx)
+		snap.Upstreams, err = readList(ctx, r, r.cfg.Upstreams, b, b.upstreams)
 		r.reportUnreadable(len(snap.Upstreams.Unreadable), nil)
 		return err
 	})
 	g.Go(func() error {
-		list, err := countingRead(r, r.cfg.Routes.Read)(ctx)
+		list, err := readList(ctx, r, r.cfg.Routes, b, func([]model.RouteTable, model.Revision) {})
 		routesAt = list.Revision
 		if len(list.Items) > 0 {
 			snap.Routes = list.Items[0]
-			b.routes(list.Items[0])
+			b.routes(list.Items[0], list.Revision)
 		}
 		r.reportUnreadable(0, list.Unreadable)
 		return err
 	})
 	g.Go(func() error {
-		list, err := countingRead(r, r.cfg.DomainsOut.Read)(ctx)
+		list, err := readList(ctx, r, r.cfg.DomainsOut, b, func([]model.DomainID, model.Revision) {})
 		snap.Out, snap.OutRevision = list.Items, list.Revision
 		if err == nil {
-			b.domainsOut(list.Items)
+			b.domainsOut(list.Items, list.Revision)
 		}
 		return err
 	})
@@ -150,6 +126,14 @@
 	return snap, err
 }
 
+// readList reads the list of one kind, in a state that may be old if b is not nil.
+func readList[T any](ctx context.Context, r *Relay, s Source[T], b *bootstrap, onPage func([]T, model.Revision)) (model.Listing[T], error) {
+	if b == nil {
+		return countingRead(r, s.Read)(ctx)
+	}
+	return countingRead(r, func(ctx context.Context) (model.Listing[T], error) { return s.ReadStale(ctx, onPage) })(ctx)
+}
+
 // countingRead wraps a read so that its outcome is counted.
 func countingRead[T any](r *Relay, read func(context.Context) (model.Listing[T], error)) func(context.Context) (model.Listing[T], error) {
 	return func(ctx context.Context) (model.Listing[T], error) {
--- a/internal/run/relay/read_test.go
+++ b/internal/run/relay/read_test.go
@@ -17,6 +17,8 @@
 type fakeSource[T any] struct {
 	at    model.Revision
 	items []T
+	// stale is an old state that ReadStale returns; nil for the current one.
+	stale *model.Listing[T]
 	since model.Changes[T]
 	err   error
 }
@@ -26,9 +28,12 @@
 	return model.Listing[T]{Items: s.items, Revision: s.at}, nil
 }
 
-// ReadPaged implements Source.
-func (s fakeSource[T]) ReadPaged(ctx context.Context, _ func([]T)) (model.Listing[T], error) {
-	return s.Read(ctx)
+// ReadStale implements Source.
+func (s fakeSource[T]) ReadStale(context.Context, func([]T, model.Revision)) (model.Listing[T], error) {
+	if s.stale != nil {
+		return *s.stale, nil
+	}
+	return model.Listing[T]{Items: s.items, Revision: s.at}, nil
 }
 
 // ChangesSince implements Source.
@@ -60,11 +65,32 @@
 	}{
 		"a first read whose route configuration is older than the rest": {
 			cfg: Config{
-				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 193}}, Upstreams: fakeSource[model.Registration]{at: 194},
+				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 190}}, Upstreams: fakeSource[model.Registration]{at: 194},
 				Routes: fakeSource[model.RouteTable]{at: 190, items: []model.RouteTable{table}}, DomainsOut: fakeSource[model.DomainID]{at: 194},
 			},
 			want: 190, version: 3,
 		},
+		"a first read of lists that are older than the reader records": {
+			cfg: Config{
+				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 192}},
+				Upstreams:     fakeSource[model.Registration]{stale: &model.Listing[model.Registration]{Revision: 181}, since: model.Changes[model.Registration]{Revision: 192}},
+				Routes: fakeSource[model.RouteTable]{
+					stale: &model.Listing[model.RouteTable]{Items: []model.RouteTable{table}, Revision: 185},
+					since: model.Changes[model.RouteTable]{Items: []model.RouteTable{later}, Newest: 192, Revision: 192},
+				},
+				DomainsOut: fakeSource[model.DomainID]{stale: &model.Listing[model.DomainID]{Revision: 181}, since: model.Changes[model.DomainID]{Revision: 192}},
+			},
+			want: 192, version: 5,
+		},
+		"a first read of old lists whose changes the store withholds": {
+			cfg: Config{
+				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 192}},
+				Upstreams:     fakeSource[model.Registration]{stale: &model.Listing[model.Registration]{Revision: 181}, at: 193, since: model.Changes[model.Registration]{Revision: 181}},
+				Routes:        fakeSource[model.RouteTable]{stale: &model.Listing[model.RouteTable]{Items: []model.RouteTable{table}, Revision: 181}, at: 193, items: []model.RouteTable{later}},
+				DomainsOut:    fakeSource[model.DomainID]{stale: &model.Listing[model.DomainID]{Revision: 181}, at: 193},
+			},
+			want: 192, version: 5,
+		},
 		"changes that reach the current revision": {
 			cfg: Config{
 				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 192}}, Upstreams: fakeSource[model.Registration]{since: model.Changes[model.Registration]{Revision: 192}},
@@ -87,7 +113,13 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := &Relay{cfg: tc.cfg, log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(), snapshot: tc.have}
-			snap, _, err := r.readSnapshot(context.Background())
+			snap, err := tc.have, error(nil)
+			if tc.have.Revision == 0 {
+				records, _ := tc.cfg.ReaderRecords.Read(context.Background())
+				snap, err = r.readFirst(context.Background(), records)
+			} else {
+				snap, _, err = r.readSnapshot(context.Background(), tc.have)
+			}
 			is.NoErr(err)
 			is.Equal(snap.Revision, tc.want)
 			is.Equal(snap.Routes.Version, tc.version)
@@ -142,7 +174,7 @@
 				log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(),
 				snapshot: model.Snapshot{Revision: 181, Routes: model.RouteTable{Version: 3, Revision: 5}},
 			}
-			snap, _, err := r.readSnapshot(context.Background())
+			snap, _, err := r.readSnapshot(context.Background(), r.snapshot)
 			is.NoErr(err)
 			is.Equal(calls, tc.calls)
 			is.Equal(snap.Revision, model.Revision(184))
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -42,8 +42,9 @@
 type Source[T any] interface {
 	// Read returns all objects.
 	Read(ctx context.Context) (model.Listing[T], error)
-	// ReadPaged returns all objects. While it reads a long list, it passes each page to onPage.
-	ReadPaged(ctx context.Context, onPage func([]T)) (model.Listing[T], error)
+	// ReadStale returns all objects in a state that may be seconds old and is complete up to the listing's revision. While it reads a long list,
+	// it passes each page and its revision to onPage.
+	ReadStale(ctx context.Context, onPage func([]T, model.Revision)) (model.Listing[T], error)
 	// ChangesSince returns the changes after a revision. It fails if the store no longer has them.
 	ChangesSince(ctx context.Context, after model.Revision) (model.Changes[T], error)
 }
--- /dev/null
+++ b/internal/run/relay/start_test.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"hawthorncourse/internal/base/count"
+	"hawthorncourse/internal/base/logs"
+	"hawthorncourse/internal/base/ring"
+	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/fresh"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+	"hawthorncourse/internal/peer/share"
+)
+
+// noOrdinals assigns no ordinals.
+type noOrdinals struct{}
+
+// Ordinal implements share.OrdinalAssigner.
+func (noOrdinals) Ordinal(model.InstanceID) model.Ordinal { return model.Ordinal{} }
+
+// newShare returns the share of an instance that answers peers, and its address.
+func newShare(t *testing.T, id model.InstanceID) (*share.Share, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := share.New(share.Config{Self: id, Listener: l, Ordinals: noOrdinals{}, Counts: count.New()})
+	go func() { _ = s.Run(ctx) }()
+	return s, netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestStartFromReader checks that a starting instance takes its first snapshot from the reader only if the reader answers and has a recent one, and
+// that otherwise it turns to the store soon: after an outage of all instances, the reader on record may not run.
+func TestStartFromReader(t *testing.T) {
+	const maxStaleness = 3 * time.Second
+	snapshot := model.Snapshot{Revision: 7, Upstreams: model.Listing[model.Registration]{Items: []model.Registration{{ID: "a-1", Number: 1, Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80")}}, Revision: 7}}
+	outdated := snapshot
+	outdated.Age = maxStaleness
+	cases := map[string]struct {
+		// reader returns the reader record.
+		reader  func(*testing.T) model.ReaderRecord
+		started bool
+	}{
+		"reader with a recent snapshot": {started: true, reader: func(t *testing.T) model.ReaderRecord {
+			s, addr := newShare(t, "reader")
+			s.Publish(snapshot)
+			return model.ReaderRecord{Holder: "reader", Control: addr}
+		}},
+		"reader with an outdated snapshot": {reader: func(t *testing.T) model.ReaderRecord {
+			s, addr := newShare(t, "reader")
+			s.Publish(outdated)
+			return model.ReaderRecord{Holder: "reader", Control: addr}
+		}},
+		"reader without a snapshot": {reader: func(t *testing.T) model.ReaderRecord {
+			_, addr := newShare(t, "reader")
+			return model.ReaderRecord{Holder: "reader", Control: addr}
+		}},
+		"reader does not run": {reader: func(t *testing.T) model.ReaderRecord {
+			return model.ReaderRecord{Holder: "reader", Control: netip.MustParseAddrPort("127.0.0.1:1")}
+		}},
+		"reader accepts connections and does not answer": {reader: func(t *testing.T) model.ReaderRecord {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			return model.ReaderRecord{Holder: "reader", Control: netip.MustParseAddrPort(l.Addr().String())}
+		}},
+		"no reader":                  {reader: func(*testing.T) model.ReaderRecord { return model.ReaderRecord{} }},
+		"this instance is on record": {reader: func(*testing.T) model.ReaderRecord { return model.ReaderRecord{Holder: "self"} }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			own, _ := newShare(t, "self")
+			s := fresh.NewScheduler(fresh.SchedulerConfig{Self: "self", MaxStaleness: maxStaleness})
+			r := &Relay{
+				cfg: Config{Instance: "self"}, log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(), share: own, scheduler: s, start: time.Now(),
+				outages: fresh.NewOutageTracker(maxStaleness, roster.OutageGrace), commands: ring.New[command](8), engine: direct.New(direct.Config{}),
+			}
+			r.ordinals = newOrdinalAllocator(s, r.now)
+			f := &follower{Relay: r}
+			start := time.Now()
+			is.Equal(f.startFromReader(context.Background(), tc.reader(t)), tc.started)
+			is.True(time.Since(start) < time.Second)
+			is.Equal(r.currentSnapshot().Revision == snapshot.Revision, tc.started)
+			step, _ := s.Next(r.now())
+			is.Equal(step == fresh.StepPollReader, tc.started)
+		})
+	}
+}
