--- a/internal/run/relay/start_test.go
+++ b/internal/run/relay/start_test.go
@@ -56,19 +56,19 @@
 		"reader with a recent snapshot": {started: true, reader: func(t *testing.T) model.ReaderRecord {
 			s, addr := newShare(t, "reader")
 			s.Publish(snapshot)
-			return model.ReaderRecord{Holder: "reader", Control: addr}
+			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: addr}
 		}},
 		"reader with an outdated snapshot": {reader: func(t *testing.T) model.ReaderRecord {
 			s, addr := newShare(t, "reader")
 			s.Publish(outdated)
-			return model.ReaderRecord{Holder: "reader", Control: addr}
+			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: addr}
 		}},
 		"reader without a snapshot": {reader: func(t *testing.T) model.ReaderRecord {
 			_, addr := newShare(t, "reader")
-			return model.ReaderRecord{Holder: "reader", Control: addr}
+			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: addr}
 		}},
 		"reader does not run": {reader: func(t *testing.T) model.ReaderRecord {
-			return model.ReaderRecord{Holder: "reader", Control: netip.MustParseAddrPort("127.0.0.1:1")}
+			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: netip.MustParseAddrPort("127.0.0.1:1")}
 		}},
 		"reader accepts connections and does not answer": {reader: func(t *testing.T) model.ReaderRecord {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -76,7 +76,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = l.Close() })
-			return model.ReaderRecord{Holder: "reader", Control: netip.MustParseAddrPort(l.Addr().String())}
+			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: netip.MustParseAddrPort(l.Addr().String())}
 		}},
 		"no reader":                  {reader: func(*testing.T) model.ReaderRecord { return model.ReaderRecord{} }},
 		"this instance is on record": {reader: func(*testing.T) model.ReaderRecord { return model.ReaderRecord{Holder: "self"} }},
