Probe a sample of an unresponsive failure domain instead of all its upstreams

Ruled out: fewer probes for upstreams with flows here, whose idempotent flows are reset by that evidence.

--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -1,6 +1,9 @@
 package direct
 
 import (
+	"maps"
+	"slices"
+
 	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
@@ -159,19 +162,46 @@
 	}
 }
 
-// suspectDomain probes every upstream of an unresponsive failure domain. Several upstreams that fail at the same time look like a partition;
-// probes of each tell them from the others, whose open flows continue.
+// domainSample is the number of upstreams without flows of this instance that it probes in an unresponsive failure domain. With hundreds of
+// instances and upstreams, probes of all by all would be most of the connections that upstreams get.
+const domainSample = 4
+
+// suspectDomain probes the upstreams of an unresponsive failure domain that have flows of this instance, and a sample of the others. Several
+// upstreams that fail at the same time look like a partition; probes of those with flows tell them from the others, whose flows continue, and
+// the sample shows when the domain answers again.
 func (e *Engine) suspectDomain(now model.Instant, id model.DomainID) {
-	for _, u := range e.roster.All() {
-		if u.Domain == id {
-			u.Health.MarkSuspect(now)
-			e.startProbe(now, u)
+	all := e.roster.All()
+	wanted := domainSample
+	for _, u := range all {
+		if u.Domain == id && u.Load.Flows == 0 && u.Health.Suspect() {
+			wanted--
 		}
 	}
+	first := e.rng.IntN(max(len(all), 1))
+	for n := range all {
+		u := all[(first+n)%len(all)]
+		if u.Domain != id || u.Health.Suspect() || !e.roster.Usable(u) {
+			continue
+		}
+		if u.Load.Flows == 0 {
+			if wanted <= 0 {
+				continue
+			}
+			wanted--
+		}
+		u.Health.MarkSuspect(now)
+		e.startProbe(now, u)
+	}
 }
 
-// startDueProbes starts the probes that are due, so that recovery is noticed without traffic from callers.
+// startDueProbes starts the probes that are due, so that recovery is noticed without traffic from callers. It keeps up the sample of each
+// partitioned failure domain, as upstreams in it may end.
 func (e *Engine) startDueProbes(now model.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(e.domains)) {
+		if e.domains[id].Partitioned() {
+			e.suspectDomain(now, id)
+		}
+	}
 	for _, u := range e.roster.All() {
 		e.startProbe(now, u)
 	}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -95,6 +95,11 @@
 	}
 }
 
+// Suspect reports whether packets or probes of the upstream went unanswered since it last answered.
+func (t *Tracker) Suspect() bool {
+	return t.timeouts > 0 || t.probeFailures > 0
+}
+
 // StartProbe reports whether the caller must start a probe now. If so, the caller must report the outcome with FinishProbe.
 func (t *Tracker) StartProbe(now model.Instant) bool {
 	if t.probing || now < t.nextProbe || (t.timeouts == 0 && t.probeFailures == 0) {
