Reset waiting flows in a fixed order

Cause: TestDeterministic failed in two of about eight runs since the sample of upstreams draws random numbers: the flows to reset came from a table without an order, so that the numbers were drawn for other decisions. Ruled out: the order of failure domains (sorted there) and of upstreams (kept in the order of insertion). Change: the flows are sorted by caller. Measured: go test ./internal/bench/replay -run TestDeterministic -count=25: passes.

--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -112,6 +113,10 @@
 		}
 		return true
 	})
+	// The table has no order; a replay must give the same result each time.
+	slices.SortFunc(e.resetQueue, func(a, b model.FlowKey) int {
+		return cmp.Or(a.Caller.Compare(b.Caller), a.Service.Compare(b.Service))
+	})
 	for _, key := range e.resetQueue {
 		f := e.flows.Peek(key)
 		e.terminate(&model.Segment{Flow: key, AckSeq: f.ackSeq}, f, u, model.ReasonUpstreamUnreachable)
