--- a/internal/proof/direct/direct_test.go
+++ b/internal/proof/direct/direct_test.go
@@ -53,8 +53,6 @@
 			change(s.Processes[1], false, "Changed settings have been applied", halveStaleness)
 			change(s.Processes[2], true, "Changed settings cannot be used", func(set *stand.Settings) { set.Store = netip.AddrPort{} })
 			change(s.Processes[3], true, "listen.ready-addr", func(set *stand.Settings) { set.Ready = feedAddress })
-			// The instance still serves readiness checks at its old address, and the routers check the address in Settings.
-			s.Processes[3].Settings.Ready = netip.AddrPortFrom(s.Processes[3].Settings.Packets.Addr(), s.Processes[0].Settings.Ready.Port())
 			s.upstreams[0].Drain()
 			time.Sleep(changeLimit)
 			from := time.Now()
--- a/internal/proof/direct/harness_test.go
+++ b/internal/proof/direct/harness_test.go
@@ -63,16 +63,21 @@
 	load      *crowd.Generator
 }
 
-// newSystem starts two instances and three upstreams in each of two failure domains, and the load. It stops them when the test ends.
-func newSystem(t *testing.T) *system {
+// newSystem starts two instances and three upstreams in each of two failure domains, and the load. It stops them when the test ends. The edits
+// change the configuration of the environment.
+func newSystem(t *testing.T, edits ...func(*stage.Config)) *system {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &system{t: t, ctx: ctx}
-	var err error
-	s.Environment, err = stage.New(ctx, stage.Config{
+	cfg := stage.Config{
 		Binary: binary, Dir: t.TempDir(), Subnet: firstSubnet + int(subnets.Add(1)), Domains: []string{"east", "west"}, Instances: 4,
 		Services: []string{"desk", "desk", "desk", "desk", "claims", "claims"}, Routes: []stand.Route{feed, order, photo}, RequestTime: requestTime, MaxStaleness: changeLimit,
-	})
+	}
+	for _, edit := range edits {
+		edit(&cfg)
+	}
+	var err error
+	s.Environment, err = stage.New(ctx, cfg)
 	s.check(err)
 	s.upstreams = s.Upstreams()
 	s.load = crowd.Start(ctx, crowd.Config{
--- a/internal/stand/stage/stage.go
+++ b/internal/stand/stage/stage.go
@@ -60,6 +60,8 @@
 	ColdFor time.Duration
 	// MaxStaleness is the time within which a change in the store must take effect at every instance.
 	MaxStaleness time.Duration
+	// LinkMbps is the speed of each instance's own link in Mbit/s according to its settings; zero if they do not state it.
+	LinkMbps float64
 	// Links injects faults into the connections between instances. If it is nil, instances connect to each other directly.
 	Links tunnel.Links
 }
@@ -190,7 +192,7 @@
 		settingsPath: filepath.Join(e.cfg.Dir, fmt.Sprintf("%d.toml", n)), logPath: filepath.Join(e.cfg.Dir, fmt.Sprintf("%d.log", n)), binary: e.cfg.Binary,
 		Settings: stand.Settings{
 			Name: instanceName(n), Domain: domain, Domains: e.cfg.Domains, Packets: e.addr(groupInstances, n+1, packetPort), Ready: e.addr(groupInstances, n+1, readyPort),
-			Control: e.addr(groupInstances, n+1, controlPort), Seeds: e.seeds(), Store: addr, MaxStaleness: e.cfg.MaxStaleness,
+			Control: e.addr(groupInstances, n+1, controlPort), Seeds: e.seeds(), Store: addr, MaxStaleness: e.cfg.MaxStaleness, LinkMbps: e.cfg.LinkMbps,
 		},
 	}
 	p.readyAddress = p.Settings.Ready
