--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -99,7 +99,8 @@
 }
 
 // handleUnresolved handles a packet whose upstream is not known. The packet is held at first, as the upstream may be so new that only
-// other instances know it, or this instance may still be reading the registry. Once the registry has been confirmed since the tag was first seen, the upstream has ended and the flow is reset.
+// other instances know it, or this instance may still be reading the registry. Once the registry has been confirmed since the tag was first
+// seen, the upstream has ended and the flow is reset.
 func (e *Engine) handleUnresolved(now model.Instant, seg *model.Segment, f *flow) {
 	if seg.Tag == 0 {
 		e.drop(seg, nil, model.ReasonTagMissing)
--- a/internal/core/egress/scheduler_test.go
+++ b/internal/core/egress/scheduler_test.go
@@ -17,10 +17,13 @@
 	return model.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port), Service: netip.MustParseAddrPort("198.18.0.1:443")}
 }
 
-// busy returns a scheduler for a link of 2 Mbit/s whose burst is used up.
-func busy(now model.Instant) *egress.Scheduler[string] {
+// start is when the tests start.
+const start = model.Instant(time.Minute)
+
+// busy returns a scheduler for a link of 2 Mbit/s whose burst is used up at start.
+func busy() *egress.Scheduler[string] {
 	s := egress.New[string](2)
-	for s.TrySend(now, fullPacket) {
+	for s.TrySend(start, fullPacket) {
 	}
 	return s
 }
@@ -68,12 +71,11 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			now := model.Instant(time.Minute)
-			s := busy(now)
+			s := busy()
 			for _, p := range tc.packets {
 				is.True(s.Push(p))
 			}
-			is.Equal(drain(s, now), tc.want)
+			is.Equal(drain(s, start), tc.want)
 		})
 	}
 }
@@ -90,8 +92,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			start := model.Instant(time.Minute)
-			s := busy(start)
+			s := busy()
 			for n := range 100 {
 				is.True(s.Push(egress.Packet[string]{Flow: flow(uint16(n % 10)), Seq: uint32(n), Size: fullPacket}))
 			}
@@ -117,8 +118,7 @@
 // TestLimit checks that a full queue is bounded and that the flow with most queued packets pays for it.
 func TestLimit(t *testing.T) {
 	is := is.New(t)
-	now := model.Instant(time.Minute)
-	s := busy(now)
+	s := busy()
 	rejected := 0
 	for n := range 1000 {
 		if !s.Push(egress.Packet[string]{Flow: flow(1), Seq: uint32(n), Size: fullPacket, Payload: "upload"}) {
@@ -133,7 +133,7 @@
 	is.True(bytes <= 2*125_000*9/10*3/2)
 	is.True(delay <= 1500*time.Millisecond)
 	requests := 0
-	for _, payload := range drain(s, now) {
+	for _, payload := range drain(s, start) {
 		if payload == "request" {
 			requests++
 		}
@@ -144,8 +144,8 @@
 // TestHolds checks that a retransmission of queued data is recognised, and no longer after the data was sent or its flow has ended.
 func TestHolds(t *testing.T) {
 	is := is.New(t)
-	now := model.Instant(time.Minute)
-	s := busy(now)
+	now := start
+	s := busy()
 	is.True(s.Push(egress.Packet[string]{Flow: flow(1), Seq: 7, Size: fullPacket}))
 	is.True(s.Holds(flow(1), 7))
 	is.True(!s.Holds(flow(1), 8))
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -87,7 +87,9 @@
 // New returns a Share without a snapshot. It does not answer peers before Run is called.
 func New(cfg Config) *Share {
 	return &Share{
-		cfg: cfg, links: links.New(links.Config{Name: "share", Local: cfg.Listener.Addr(), Counts: cfg.Counts, OnSent: cfg.OnSent}), fullReplyLimiter: newFullReplyLimiter(cfg.LinkMbps), changed: make(chan struct{}),
+		cfg:              cfg,
+		links:            links.New(links.Config{Name: "share", Local: cfg.Listener.Addr(), Counts: cfg.Counts, OnSent: cfg.OnSent}),
+		fullReplyLimiter: newFullReplyLimiter(cfg.LinkMbps), changed: make(chan struct{}),
 		suspicionLimiter: rate.NewLimiter(suspicionRate, suspicionRate), suspicionSeq: 1, seenSeqs: map[netip.AddrPort]uint64{},
 	}
 }
--- a/internal/run/relay/read_test.go
+++ b/internal/run/relay/read_test.go
@@ -73,7 +73,9 @@
 		"a first read of lists that are older than the reader records": {
 			cfg: Config{
 				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 192}},
-				Upstreams:     fakeSource[model.Registration]{stale: &model.Listing[model.Registration]{Revision: 181}, since: model.Changes[model.Registration]{Revision: 192}},
+				Upstreams: fakeSource[model.Registration]{
+					stale: &model.Listing[model.Registration]{Revision: 181}, since: model.Changes[model.Registration]{Revision: 192},
+				},
 				Routes: fakeSource[model.RouteTable]{
 					stale: &model.Listing[model.RouteTable]{Items: []model.RouteTable{table}, Revision: 185},
 					since: model.Changes[model.RouteTable]{Items: []model.RouteTable{later}, Newest: 192, Revision: 192},
@@ -85,9 +87,13 @@
 		"a first read of old lists whose changes the store withholds": {
 			cfg: Config{
 				ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 192}},
-				Upstreams:     fakeSource[model.Registration]{stale: &model.Listing[model.Registration]{Revision: 181}, at: 193, since: model.Changes[model.Registration]{Revision: 181}},
-				Routes:        fakeSource[model.RouteTable]{stale: &model.Listing[model.RouteTable]{Items: []model.RouteTable{table}, Revision: 181}, at: 193, items: []model.RouteTable{later}},
-				DomainsOut:    fakeSource[model.DomainID]{stale: &model.Listing[model.DomainID]{Revision: 181}, at: 193},
+				Upstreams: fakeSource[model.Registration]{
+					stale: &model.Listing[model.Registration]{Revision: 181}, at: 193, since: model.Changes[model.Registration]{Revision: 181},
+				},
+				Routes: fakeSource[model.RouteTable]{
+					stale: &model.Listing[model.RouteTable]{Items: []model.RouteTable{table}, Revision: 181}, at: 193, items: []model.RouteTable{later},
+				},
+				DomainsOut: fakeSource[model.DomainID]{stale: &model.Listing[model.DomainID]{Revision: 181}, at: 193},
 			},
 			want: 192, version: 5,
 		},
--- a/internal/run/relay/start_test.go
+++ b/internal/run/relay/start_test.go
@@ -45,7 +45,8 @@
 // that otherwise it turns to the store soon: after an outage of all instances, the reader on record may not run.
 func TestStartFromReader(t *testing.T) {
 	const maxStaleness = 3 * time.Second
-	snapshot := model.Snapshot{Revision: 7, Upstreams: model.Listing[model.Registration]{Items: []model.Registration{{ID: "a-1", Number: 1, Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80")}}, Revision: 7}}
+	upstream := model.Registration{ID: "a-1", Number: 1, Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	snapshot := model.Snapshot{Revision: 7, Upstreams: model.Listing[model.Registration]{Items: []model.Registration{upstream}, Revision: 7}}
 	outdated := snapshot
 	outdated.Age = maxStaleness
 	cases := map[string]struct {
@@ -67,7 +68,7 @@
 			_, addr := newShare(t, "reader")
 			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: addr}
 		}},
-		"reader does not run": {reader: func(t *testing.T) model.ReaderRecord {
+		"reader does not run": {reader: func(*testing.T) model.ReaderRecord {
 			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: netip.MustParseAddrPort("127.0.0.1:1")}
 		}},
 		"reader accepts connections and does not answer": {reader: func(t *testing.T) model.ReaderRecord {
@@ -87,8 +88,8 @@
 			own, _ := newShare(t, "self")
 			s := fresh.NewScheduler(fresh.SchedulerConfig{Self: "self", MaxStaleness: maxStaleness})
 			r := &Relay{
-				cfg: Config{Instance: "self"}, log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(), share: own, scheduler: s, start: time.Now(),
-				outages: fresh.NewOutageTracker(maxStaleness, roster.OutageGrace), commands: ring.New[command](8), engine: direct.New(direct.Config{}),
+				cfg: Config{Instance: "self"}, log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(), share: own,
+				scheduler: s, start: time.Now(), outages: fresh.NewOutageTracker(maxStaleness, roster.OutageGrace), commands: ring.New[command](8), engine: direct.New(direct.Config{}),
 			}
 			r.ordinals = newOrdinalAllocator(s, r.now)
 			f := &follower{Relay: r}
