--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -154,7 +154,7 @@
 	model.ReasonUpstreamUnreachable.String(): "The upstream answered neither flows nor probes from that instance, so the flow was reset to let its idempotent caller retry.",
 	model.ReasonHandshakeSilent.String():     "The first upstream did not answer the opening packet in time, so the instance also sent the packet to another upstream.",
 	model.ReasonCallerRepeats.String():       "The caller retransmitted its opening packet because no upstream had answered the first one.",
-	model.ReasonTagUnknown.String():          "The packet's routing tag matched no upstream that the instance knew for the route, so the packet was held until the registry was read again.",
+	model.ReasonTagUnknown.String():          "The packet's routing tag matched no upstream known for the route, so the packet was held until the registry was read again.",
 	model.ReasonHeldTooLong.String():         "The packet was held because the instance was starting or did not know its upstream, and was dropped when it had waited too long.",
 	model.ReasonTagMissing.String():          "The packet carried no routing tag and the instance had not seen its flow open, so the packet was dropped.",
 	model.ReasonNotReady.String():            "The instance had just started and had no platform data yet, so the packet was dropped.",
