Make fewer calls to a store that rejects them

Cause: once the reader's data was outdated, each of its followers read the store every 200 ms, 1,475 refused calls a second, which are paid for as others are; a reader did the same. Besides, claims of the reader role left revisions that the changes of upstreams do not explain. Ruled out: claims without a read (none was made); a longer limit of the age, which would delay the recovery from a reader without the store. Change: the delay after failed reads doubles up to the interval; a follower whose own read fails while the reader still answers waits for the reader, and reads again when that wait is over; fresh.Accounted gets the revisions of the reader records too.

--- a/internal/core/fresh/fresh.go
+++ b/internal/core/fresh/fresh.go
@@ -6,13 +6,14 @@
 const (
 	// readsPerStalenessBound is how many reads are made within the staleness bound, so that one may fail and another may be slow.
 	readsPerStalenessBound = 3
-	// retryDelay is the delay after a failed read; with seven instances reading, retries make 35 of the 2,000 calls allowed per second.
+	// retryDelay is the delay after the first failed read. It doubles with each further one up to the interval between reads: refused calls cost
+	// the store as much as others, and a store that rejects one instance usually does so for seconds.
 	retryDelay = 200 * time.Millisecond
 	// minTimeout is the timeout after a successful read; it also covers a store that is fifty times slower than its usual 4 ms.
 	minTimeout = 600 * time.Millisecond
 	// maxTimeout bounds the timeout after repeated failures, for a store that is even slower.
 	maxTimeout = 2400 * time.Millisecond
-	// timeoutGrowth multiplies the timeout after each failed read.
+	// timeoutGrowth multiplies the timeout and the delay after each failed read.
 	timeoutGrowth = 2
 )
 
@@ -41,8 +42,12 @@
 // FinishRead records the outcome of a read and its duration; it returns the delay before the next read.
 func (p *Pacer) FinishRead(ok bool, took time.Duration) time.Duration {
 	if !ok {
+		delay := retryDelay
+		for range p.failures {
+			delay = min(delay*timeoutGrowth, max(p.Interval(), retryDelay))
+		}
 		p.failures++
-		return retryDelay
+		return delay
 	}
 	p.failures = 0
 	return max(p.Interval()-took, 0)
--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -56,6 +56,11 @@
 	failedRevision model.Revision
 	// storeNext is set while the store has to be read instead of polling the reader.
 	storeNext bool
+	// readerAnswers is set if the reader answered the last poll, if only with outdated data.
+	readerAnswers bool
+	// awaitReader is set after a failed read of the store while the reader answers: the store probably rejects both, and the reader will pass
+	// on what it reads first.
+	awaitReader bool
 	// claimFailedAt is when the last claim failed for lack of an answer; zero if the last claim was answered.
 	claimFailedAt model.Instant
 	// claimDelay is how long this instance waits before it claims a vacant role, so that instances with faster links claim it first.
@@ -109,6 +114,8 @@
 	switch {
 	case !s.recordRead || s.storeNext || s.record.Holder == s.self:
 		return StepReadStore, wait
+	case s.awaitReader:
+		return StepPollReader, 0
 	case s.roleVacant():
 		if s.claimFailedAt != 0 && now.Sub(s.claimFailedAt) < claimRetryDelay {
 			return StepReadStore, wait
@@ -150,6 +157,9 @@
 // PollWait returns how long a poll of the reader that starts now may wait for its next confirmation. It ends when the data that this instance
 // has becomes outdated: a reader that is partitioned from the store answers polls, but confirms nothing.
 func (s *Scheduler) PollWait(now model.Instant) time.Duration {
+	if s.awaitReader {
+		return s.ReaderTimeout()
+	}
 	untilOutdated := s.confirmedAt.Add(s.MaxAge()).Sub(now)
 	return min(s.ReaderTimeout(), max(untilOutdated-minPollWait, minPollWait))
 }
@@ -164,9 +174,11 @@
 	s.nextAt = now.Add(s.pacer.FinishRead(ok, now.Sub(start)))
 	if !ok {
 		// The reader may have newer data than this instance can read from a store that does not respond to it.
-		s.storeNext = !s.recordRead || s.roleVacant()
+		s.awaitReader = s.recordRead && s.readerAnswers && s.record.Holder != s.self
+		s.storeNext = !s.recordRead || (s.roleVacant() && !s.awaitReader)
 		return
 	}
+	s.awaitReader = false
 	s.record, s.recordRead, s.storeNext = record, true, false
 	s.confirmedAt = max(s.confirmedAt, start)
 	switch {
@@ -186,11 +198,16 @@
 // FinishReaderPoll records the outcome of a poll of the reader; age is that of the reader's data.
 func (s *Scheduler) FinishReaderPoll(now model.Instant, age time.Duration, ok bool) {
 	s.nextAt = now
+	s.readerAnswers, s.awaitReader = ok, false
 	if ok {
 		s.confirmedAt = max(s.confirmedAt, now.Add(-age))
 	}
 	// Data that would be outdated at the end of the shortest poll counts as outdated already.
 	if ok && age+minPollWait < s.MaxAge() {
+		if s.record.Revision == s.failedRevision {
+			// The reader that was outdated has recovered.
+			s.failedRevision = 0
+		}
 		return
 	}
 	s.failedRevision, s.storeNext = s.record.Revision, true
--- a/internal/run/relay/read.go
+++ b/internal/run/relay/read.go
@@ -37,7 +37,7 @@
 }
 
 // catchUp updates a snapshot by reading only the changes since its revision. Upstreams change far more often than the rest, which is read only
-// if their changes do not account for every new revision. ok is false if the store withholds changes or no longer has them; everything has
+// if their changes and those of the reader records do not account for every new revision. ok is false if the store withholds changes or no longer has them; everything has
 // to be read then.
 func (r *Relay) catchUp(ctx context.Context, have model.Snapshot, records *model.Listing[model.ReaderRecord]) (snap model.Snapshot, ok bool) {
 	var upstreams model.Changes[model.Registration]
@@ -46,7 +46,11 @@
 	if readChanges(ctx, r, r.cfg.Upstreams, have.Revision, &upstreams) != nil {
 		return snap, false
 	}
-	if fresh.Accounted(have.Revision, records.Revision, upstreams.Revisions) {
+	revisions := upstreams.Revisions
+	for _, record := range records.Items {
+		revisions = append(revisions, record.Revision)
+	}
+	if fresh.Accounted(have.Revision, records.Revision, revisions) {
 		snap = have
 		snap.Upstreams = have.Upstreams.Apply(upstreams, model.UpstreamName)
 		snap.OutRevision = max(have.OutRevision, records.Revision)
