Let one reader read the store for the readers of all failure domains

Cause: the reader of each failure domain read the store itself although all of them reach each other. Ruled out: one reader for all instances (a domain that is cut off would be without updates, and a reader would serve thousands). Change: the reader of the first domain in order of names is the lead reader. Two lead readers at a time cost calls and do no harm; polls follow the order of names, so that there is no cycle.

--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -18,9 +18,11 @@
 	StepPollReader
 	// StepClaimRole tries to become the reader of the failure domain by a conditional write.
 	StepClaimRole
+	// StepPollLead waits, as the reader of a failure domain, for the next update from the lead reader.
+	StepPollLead
 )
 
-var stepNames = map[Step]string{StepReadStore: "store", StepPollReader: "reader", StepClaimRole: "claim"}
+var stepNames = map[Step]string{StepReadStore: "store", StepPollReader: "reader", StepClaimRole: "claim", StepPollLead: "lead"}
 
 // String returns the name of the step.
 func (s Step) String() string {
@@ -43,9 +45,10 @@
 )
 
 // Scheduler decides whether an instance next reads the platform's store, polls the reader of its failure domain or claims the reader role.
-// One instance per failure domain, the reader, reads the store and sends updates to the others, so that the number of calls to the store
-// does not grow with the number of instances. The reader is named by a record in the store. An instance that finds the reader unresponsive
-// or outdated reads the store itself and claims the role. Two readers at the same time cost additional calls but do no harm.
+// One instance per failure domain, the reader, sends updates to the others, so that the number of calls to the store does not grow with the number
+// of instances. The readers are named by records in the store. The reader of the first domain, the lead reader, reads the store; those of the
+// other domains poll it, and read the store themselves while it does not answer. An instance that finds its reader unresponsive or outdated
+// reads the store itself and claims the role. Two readers at the same time cost additional calls but do no harm.
 type Scheduler struct {
 	self  model.InstanceID
 	pacer Pacer
@@ -69,6 +72,8 @@
 	vacantSince model.Instant
 	// nextAt is the earliest time of the next step.
 	nextAt model.Instant
+	// lead is used while this instance is the reader of its failure domain.
+	lead leadState
 	// confirmedAt is when the store last confirmed the instance's data, as far as this instance knows.
 	confirmedAt model.Instant
 }
@@ -112,6 +117,8 @@
 func (s *Scheduler) Next(now model.Instant) (Step, time.Duration) {
 	wait := max(s.nextAt.Sub(now), 0)
 	switch {
+	case s.IsReader() && s.lead.usable(now, s.self) && s.confirmedAt != 0:
+		return StepPollLead, 0
 	case !s.recordRead || s.storeNext || s.record.Holder == s.self:
 		return StepReadStore, wait
 	case s.awaitReader:
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -17,6 +17,8 @@
 	Out []DomainID
 	// OutRevision is the revision up to which Out is complete.
 	OutRevision Revision
+	// Readers holds the reader records of all failure domains as of the last confirmation; empty in snapshots for instances that are no readers.
+	Readers []ReaderRecord
 	// Age is the time since the store last confirmed that the snapshot was current.
 	Age time.Duration
 	// GraceLeft is the rest of the grace period after an outage of the store, during which a missing registration does not mean that
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -149,10 +149,31 @@
 		return snap, err
 	}
 	s.handleSuspicions(peer, &reply)
+	return snapshotFrom(have, &reply)
+}
+
+// PollAsReader is Poll for the reader of one failure domain at that of another. The returned snapshot also holds the reader records; suspicions of
+// the other domain are not received.
+func (s *Share) PollAsReader(ctx context.Context, peer netip.AddrPort, have model.Snapshot, wait time.Duration) (snap model.Snapshot, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "poll %s as a reader", peer)
+		}
+	}()
+	var reply NextReply
+	args := NextArgs{From: string(s.cfg.Self), Have: have.Digest(), Wait: int64(wait), Readers: true}
+	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
+		return snap, err
+	}
+	return snapshotFrom(have, &reply)
+}
+
+// snapshotFrom returns have with the changes in a reply applied.
+func snapshotFrom(have model.Snapshot, reply *NextReply) (model.Snapshot, error) {
 	if reply.Revision == 0 {
-		return snap, ErrNoSnapshot
+		return model.Snapshot{}, ErrNoSnapshot
 	}
-	return merge(have, &reply)
+	return merge(have, reply)
 }
 
 // lastSeenSeq returns the sequence number of the last suspicion received from the peer; zero if another peer was polled since.
@@ -196,7 +217,10 @@
 		case <-c.ctx.Done():
 		}
 	}
-	ordinal := s.cfg.Ordinals.Ordinal(model.InstanceID(args.From))
+	var ordinal model.Ordinal
+	if !args.Readers {
+		ordinal = s.cfg.Ordinals.Ordinal(model.InstanceID(args.From))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.latest.Revision == 0 {
@@ -206,6 +230,9 @@
 	snap := s.latest
 	snap.Age, snap.GraceLeft = now.Sub(s.confirmedAt), max(s.graceUntil.Sub(now), 0)
 	s.fillReply(&snap, args.Have, reply)
+	if args.Readers && reply.Revision != 0 {
+		reply.Readers = readersToWire(snap.Readers)
+	}
 	reply.Doubts, reply.Spread = s.suspicionsAfter(args.Heard), s.suspicionSeq
 	if reply.Revision != 0 {
 		reply.Index, reply.Of = ordinal.Index, ordinal.Count
--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -223,3 +223,26 @@
 	poll(0)
 	p.True(len((<-p.suspicions["asker"]).Domains) <= 20)
 }
+
+// TestPollAsReader checks that the reader of another failure domain gets the reader records with every reply, and no ordinal and no suspicions.
+func TestPollAsReader(t *testing.T) {
+	p := newPair(t)
+	records := []model.ReaderRecord{{Domain: "east", Holder: "reader", Control: netip.MustParseAddrPort("10.0.0.1:8166"), Revision: 4}}
+	snap := newSnapshot(10, 5, 1)
+	snap.Readers = records
+	p.reader.Publish(snap)
+	have := model.Snapshot{}
+	for range 2 {
+		got, err := p.poller.PollAsReader(p.ctx, p.readerAddr, have, 0)
+		p.NoErr(err)
+		p.Equal(got.Readers, records)
+		p.Equal(got.Ordinal, model.Ordinal{})
+		p.Equal(len(got.Upstreams.Items), 5)
+		p.reader.BroadcastSuspicion(model.Suspicion{Upstreams: []model.UpstreamID{"a"}})
+		have = got
+	}
+	p.Equal(len(p.suspicions["asker"]), 0)
+	plain, err := p.poller.Poll(p.ctx, p.readerAddr, have, 0)
+	p.NoErr(err)
+	p.Equal(len(plain.Readers), 0)
+}
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -17,6 +17,8 @@
 	Wait int64
 	// Heard is the sequence number of the last suspicion that the caller received from this peer; zero for none.
 	Heard uint64
+	// Readers is set if the caller is the reader of another failure domain: it gets the reader records and no ordinal.
+	Readers bool
 }
 
 // scope says how much of the snapshot a reply holds.
@@ -60,6 +62,36 @@
 	// Out holds the failure domains that operators have taken out of service, as of revision OutAt.
 	Out   []string
 	OutAt uint64
+	// Readers holds the reader records of all failure domains, for callers that set NextArgs.Readers.
+	Readers []Reader
+}
+
+// Reader is a model.ReaderRecord on the wire.
+type Reader struct {
+	Domain   string
+	Holder   string
+	Control  string
+	Revision uint64
+}
+
+func readersToWire(records []model.ReaderRecord) (out []Reader) {
+	for _, r := range records {
+		out = append(out, Reader{Domain: string(r.Domain), Holder: string(r.Holder), Control: r.Control.String(), Revision: uint64(r.Revision)})
+	}
+	return out
+}
+
+func readersFromWire(list []Reader) (records []model.ReaderRecord, err error) {
+	for _, r := range list {
+		control, err := netip.ParseAddrPort(r.Control)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, model.ReaderRecord{
+			Domain: model.DomainID(r.Domain), Holder: model.InstanceID(r.Holder), Control: control, Revision: model.Revision(r.Revision),
+		})
+	}
+	return records, nil
 }
 
 // Upstream is a model.Registration on the wire. ColdFor is in nanoseconds.
@@ -178,6 +210,9 @@
 	snap = model.Snapshot{
 		Revision: model.Revision(w.Revision), Age: time.Duration(w.Age), GraceLeft: time.Duration(w.Unsure), Ordinal: model.Ordinal{Index: w.Index, Count: w.Of},
 	}
+	if snap.Readers, err = readersFromWire(w.Readers); err != nil {
+		return snap, err
+	}
 	snap.OutRevision = model.Revision(w.OutAt)
 	snap.Upstreams = model.Listing[model.Registration]{Unreadable: w.Unreadable, Revision: model.Revision(w.ListedAt)}
 	for _, u := range w.Upstreams {
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -45,6 +45,8 @@
 		switch step {
 		case fresh.StepPollReader:
 			f.pollReader(ctx)
+		case fresh.StepPollLead:
+			f.pollLead(ctx)
 		case fresh.StepClaimRole:
 			f.claim(ctx)
 		default:
@@ -108,15 +110,42 @@
 		f.scheduler.FinishStoreRead(now, start, model.ReaderRecord{}, false)
 		return
 	}
-	next.Age, next.GraceLeft = now.Sub(start), 0
+	next.Age, next.GraceLeft, next.Readers = now.Sub(start), 0, records
 	f.applySnapshot(ctx, next)
 	f.scheduler.FinishStoreRead(now, start, f.ownRecord(records), true)
-	f.ordinals.confirm(now, start, f.scheduler.IsReader())
+	f.confirmRole(ctx, now, start, records)
+}
+
+// confirmRole records that the store confirmed the reader records at the instant at, and assigns this instance an ordinal if it is a reader.
+func (f *follower) confirmRole(ctx context.Context, now, at model.Instant, records []model.ReaderRecord) {
+	f.scheduler.SetReaders(records)
+	f.ordinals.confirm(now, at, f.scheduler.IsReader())
 	if f.scheduler.IsReader() {
 		f.setOrdinal(ctx, f.ordinals.Ordinal(f.cfg.Instance))
 	}
 }
 
+// pollLead waits for the next update from the lead reader, which reads the store for the readers of all failure domains.
+func (f *follower) pollLead(ctx context.Context) {
+	lead := f.scheduler.Lead()
+	snap, err := f.share.PollAsReader(ctx, lead.Control, f.currentSnapshot(), f.scheduler.LeadPollWait(f.now()))
+	if ctx.Err() != nil {
+		return
+	}
+	now := f.now()
+	ok := err == nil && len(snap.Readers) > 0
+	if ok {
+		f.applySnapshot(ctx, snap)
+	} else {
+		f.counts.Counter("platform.lead_failed").Inc(1)
+		f.logger("platform").With("holder", lead.Holder).With("error", err).Warn("The lead reader does not answer; reading the platform's store instead.")
+	}
+	f.scheduler.FinishLeadPoll(now, snap.Age, f.ownRecord(snap.Readers), ok)
+	if ok {
+		f.confirmRole(ctx, now, now.Add(-snap.Age), snap.Readers)
+	}
+}
+
 // setOrdinal makes the engine use an ordinal until it expires; after that it may be assigned to another instance.
 func (f *follower) setOrdinal(ctx context.Context, ordinal model.Ordinal) {
 	until := f.now().Add(f.ordinals.ordinalTTL())
