--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -85,6 +85,8 @@
 	Ordered bool
 	// Seq is the sequence number of the data to forward or, for VerbReset, of the reset, which is the caller's last acknowledgement number.
 	Seq uint32
+	// Length is the number of bytes of data to forward.
+	Length int
 }
 
 // Sample is one measured duration.
@@ -285,7 +287,7 @@
 // forward forwards a packet of an open flow.
 func (e *Engine) forward(up *roster.Upstream, seg *model.Segment) {
 	e.actions = append(e.actions, Action{
-		Verb: model.VerbForward, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag, Ordered: seg.Size > 0 || seg.Fin, Seq: seg.Seq,
+		Verb: model.VerbForward, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag, Ordered: seg.Size > 0 || seg.Fin, Seq: seg.Seq, Length: seg.Size,
 	})
 }
 
--- a/internal/core/egress/congestion_test.go
+++ b/internal/core/egress/congestion_test.go
@@ -95,11 +95,11 @@
 
 func (d scheduled) forward(now model.Instant, p simPacket) {
 	switch {
-	case d.s.Holds(p.flow, p.seq):
+	case d.s.Holds(p.flow, p.seq, p.size):
 	case d.s.TrySend(now, p.size):
 		d.link.send(p)
 	default:
-		d.s.Push(egress.Packet[simPacket]{Flow: p.flow, Seq: p.seq, Size: p.size, Payload: p})
+		d.s.Push(egress.Packet[simPacket]{Flow: p.flow, Seq: p.seq, Length: p.size, Size: p.size, Payload: p})
 	}
 }
 
--- a/internal/core/egress/scheduler.go
+++ b/internal/core/egress/scheduler.go
@@ -34,8 +34,9 @@
 // Packet is a packet to be sent. P is what the caller needs to send it.
 type Packet[P any] struct {
 	Flow model.FlowKey
-	// Seq identifies the data of the packet within its flow.
-	Seq uint32
+	// Seq is the sequence number of the packet's first byte of data, and Length the number of these bytes.
+	Seq    uint32
+	Length int
 	// Size is the size of the packet on the link, in bytes.
 	Size int
 	// Urgent is set for packets without data that need no order within their flow, such as handshakes and acknowledgements. They go first.
@@ -215,10 +216,10 @@
 	return s.refilledAt.Add(time.Duration((1 - s.tokens) / s.rate * float64(time.Second))), true
 }
 
-// Holds reports whether the data of a flow that starts at seq is queued: a retransmission of it has no use.
-func (s *Scheduler[P]) Holds(flow model.FlowKey, seq uint32) bool {
+// Holds reports whether a queued packet of the flow has length bytes of data from seq on: a retransmission of them has no use.
+func (s *Scheduler[P]) Holds(flow model.FlowKey, seq uint32, length int) bool {
 	f := s.flows[flow]
-	return f != nil && f.packets.Contains(func(p *Packet[P]) bool { return p.Seq == seq })
+	return f != nil && f.packets.Contains(func(p *Packet[P]) bool { return p.Seq == seq && p.Length >= length })
 }
 
 // Clear drops all queued packets and returns their number.
--- a/internal/core/egress/scheduler_test.go
+++ b/internal/core/egress/scheduler_test.go
@@ -146,17 +146,19 @@
 	is := is.New(t)
 	now := start
 	s := busy()
-	is.True(s.Push(egress.Packet[string]{Flow: flow(1), Seq: 7, Size: fullPacket}))
-	is.True(s.Holds(flow(1), 7))
-	is.True(!s.Holds(flow(1), 8))
-	is.True(!s.Holds(flow(2), 7))
+	is.True(s.Push(egress.Packet[string]{Flow: flow(1), Seq: 7, Length: 100, Size: fullPacket}))
+	is.True(s.Holds(flow(1), 7, 100))
+	is.True(s.Holds(flow(1), 7, 60))
+	is.True(!s.Holds(flow(1), 7, 101)) // A retransmission with more data is not held.
+	is.True(!s.Holds(flow(1), 8, 100))
+	is.True(!s.Holds(flow(2), 7, 100))
 	drain(s, now)
-	is.True(!s.Holds(flow(1), 7))
+	is.True(!s.Holds(flow(1), 7, 100))
 	now = now.Add(time.Second)
 	for s.TrySend(now, fullPacket) {
 	}
 	is.True(s.Push(egress.Packet[string]{Flow: flow(1), Seq: 9, Size: fullPacket}))
 	s.Forget(flow(1))
-	is.True(!s.Holds(flow(1), 9))
+	is.True(!s.Holds(flow(1), 9, 0))
 	is.Equal(len(drain(s, now)), 0)
 }
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -61,6 +61,9 @@
 	requestTime    = 20 * time.Millisecond
 	thinkTime      = 30 * time.Millisecond
 	concurrency    = 6
+	// linkMbps is the speed of the instances' links according to their settings. The load nearly fills it while other instances are down, so that
+	// packets queue.
+	linkMbps = 0.5
 	// steadyTime is how long requests are counted after recovery.
 	steadyTime = 3 * time.Second
 	// meanFaultInterval is the mean of the exponential distribution from which the time between the starts of two faults is drawn; the time is
@@ -153,7 +156,7 @@
 	var err error
 	r.Environment, err = stage.New(ctx, stage.Config{
 		Binary: binary, Dir: t.TempDir(), Subnet: firstSubnet + int(subnets.Add(1))%100, Domains: domains, Instances: *instances,
-		Services: services, Routes: routes, RequestTime: requestTime, ColdFor: coldStartTime, MaxStaleness: applyLimit, Links: r.links,
+		Services: services, Routes: routes, RequestTime: requestTime, ColdFor: coldStartTime, MaxStaleness: applyLimit, Links: r.links, LinkMbps: linkMbps,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/run/relay/transmit.go
+++ b/internal/run/relay/transmit.go
@@ -32,7 +32,7 @@
 	}
 	r.counts.Counter("egress.queued").Inc(1)
 	p := egress.Packet[outgoing]{
-		Flow: a.Flow, Seq: a.Seq, Size: size, Urgent: !a.Ordered, Payload: outgoing{raw: bytes.Clone(r.datagram), to: to},
+		Flow: a.Flow, Seq: a.Seq, Length: a.Length, Size: size, Urgent: !a.Ordered, Payload: outgoing{raw: bytes.Clone(r.datagram), to: to},
 	}
 	if !r.egress.Push(p) {
 		r.counters.drop(model.ReasonEgressFull)
@@ -63,7 +63,7 @@
 // copyQueued reports whether the packet retransmits data that is still queued. Sending it again would add to the congestion that delayed it, and
 // counting it against the upstream would blame the upstream for this instance's own link.
 func (r *Relay) copyQueued(seg *model.Segment) bool {
-	return seg.Size > 0 && r.egress.Holds(seg.Flow, seg.Seq)
+	return seg.Size > 0 && r.egress.Holds(seg.Flow, seg.Seq, seg.Size)
 }
 
 // discardQueued drops the queued datagrams after a long stall: their callers have given up or have retransmitted through other instances.
