--- a/internal/core/egress/scheduler_test.go
+++ b/internal/core/egress/scheduler_test.go
@@ -162,3 +162,18 @@
 	is.True(!s.Holds(flow(1), 9, 0))
 	is.Equal(len(drain(s, now)), 0)
 }
+
+// TestClear checks that nothing is left after the packets were dropped.
+func TestClear(t *testing.T) {
+	is := is.New(t)
+	s := busy()
+	is.True(s.Push(egress.Packet[string]{Flow: flow(1), Seq: 7, Length: 100, Size: fullPacket}))
+	is.True(s.Push(egress.Packet[string]{Flow: flow(2), Size: 67, Urgent: true}))
+	is.Equal(s.Clear(), 2)
+	is.Equal(len(drain(s, start)), 0)
+	is.True(!s.Holds(flow(1), 7, 100))
+	bytes, _ := s.Queued()
+	is.Equal(bytes, 0)
+	is.True(s.Push(egress.Packet[string]{Flow: flow(1), Size: fullPacket, Payload: "again"}))
+	is.Equal(drain(s, start), []string{"again"})
+}
--- a/internal/oper/story/story_test.go
+++ b/internal/oper/story/story_test.go
@@ -13,7 +13,7 @@
 	"hawthorncourse/internal/oper/story"
 )
 
-// TestRecordedLogs explains, from recorded logs of simulated days, the three failed requests that docs/OPERATIONS.md discusses.
+// TestRecordedLogs explains, from recorded logs of simulated days, the failed or late requests that docs/OPERATIONS.md discusses.
 func TestRecordedLogs(t *testing.T) {
 	cases := map[string]struct {
 		log, flow string
@@ -21,6 +21,7 @@
 		"the upstream died while the request ran": {log: "dead", flow: "100.66.0.26:1069"},
 		"unanswered during a partition":           {log: "cut", flow: "100.64.0.15:1040"},
 		"refused by an outdated configuration":    {log: "outdated", flow: "100.64.0.4:1163"},
+		"delayed by the instance's own link":      {log: "congested", flow: "100.67.0.14:1054"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
