--- a/internal/core/fresh/lead_test.go
+++ b/internal/core/fresh/lead_test.go
@@ -111,8 +111,8 @@
 		lead, leadStore func(now model.Instant) bool
 	}{
 		"no fault":                       {lead: always, leadStore: always},
-		"lead fails":                     {lead: before(5 * time.Second), leadStore: always},
-		"lead is cut off from the store": {lead: always, leadStore: before(5 * time.Second)},
+		"lead fails":                     {lead: beforeFault, leadStore: always},
+		"lead is cut off from the store": {lead: always, leadStore: beforeFault},
 		"lead stalls":                    {lead: between(5*time.Second, 9*time.Second), leadStore: always},
 	}
 	for name, tc := range cases {
--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -117,25 +117,35 @@
 func (s *Scheduler) Next(now model.Instant) (Step, time.Duration) {
 	wait := max(s.nextAt.Sub(now), 0)
 	switch {
-	case s.IsReader() && s.lead.usable(now, s.self) && s.confirmedAt != 0:
+	case s.pollsLead(now):
 		return StepPollLead, 0
 	case !s.recordRead || s.storeNext || s.record.Holder == s.self:
 		return StepReadStore, wait
 	case s.awaitReader:
 		return StepPollReader, 0
 	case s.roleVacant():
-		if s.claimFailedAt != 0 && now.Sub(s.claimFailedAt) < claimRetryDelay {
-			return StepReadStore, wait
-		}
-		if left := s.vacantSince.Add(s.claimDelay).Sub(now); s.claimDelay > 0 && left > 0 {
-			return StepReadStore, left
-		}
-		return StepClaimRole, 0
+		return s.nextWhileVacant(now, wait)
 	default:
 		return StepPollReader, wait
 	}
 }
 
+// pollsLead reports whether this instance is a reader that gets its data from the lead reader.
+func (s *Scheduler) pollsLead(now model.Instant) bool {
+	return s.IsReader() && s.confirmedAt != 0 && s.lead.usable(now, s.self)
+}
+
+// nextWhileVacant returns the next step while the reader role is vacant; wait is the time to the next read of the store.
+func (s *Scheduler) nextWhileVacant(now model.Instant, wait time.Duration) (Step, time.Duration) {
+	if s.claimFailedAt != 0 && now.Sub(s.claimFailedAt) < claimRetryDelay {
+		return StepReadStore, wait
+	}
+	if left := s.vacantSince.Add(s.claimDelay).Sub(now); s.claimDelay > 0 && left > 0 {
+		return StepReadStore, left
+	}
+	return StepClaimRole, 0
+}
+
 // roleVacant reports whether the reader role has no holder, or one that was found unresponsive or outdated.
 func (s *Scheduler) roleVacant() bool {
 	return s.record.Holder == "" || s.record.Revision == s.failedRevision
--- a/internal/core/fresh/scheduler_test.go
+++ b/internal/core/fresh/scheduler_test.go
@@ -129,8 +129,8 @@
 		reader, readerStore func(now model.Instant) bool
 	}{
 		"no fault":                             {reader: always, readerStore: always},
-		"reader fails":                         {reader: before(5 * time.Second), readerStore: always},
-		"reader is partitioned from the store": {reader: always, readerStore: before(5 * time.Second)},
+		"reader fails":                         {reader: beforeFault, readerStore: always},
+		"reader is partitioned from the store": {reader: always, readerStore: beforeFault},
 		"reader stalls":                        {reader: between(5*time.Second, 9*time.Second), readerStore: always},
 	}
 	for name, tc := range cases {
@@ -188,9 +188,10 @@
 
 func always(model.Instant) bool { return true }
 
-func before(d time.Duration) func(model.Instant) bool {
-	return func(now model.Instant) bool { return now < model.Instant(d) }
-}
+// failingAt is when faults begin.
+const failingAt = model.Instant(5 * time.Second)
+
+func beforeFault(now model.Instant) bool { return now < failingAt }
 
 func between(from, to time.Duration) func(model.Instant) bool {
 	return func(now model.Instant) bool { return now < model.Instant(from) || now > model.Instant(to) }
