Count suspension towards the grace period of a stop

Cause: the shutdown measured its time by the monotonic clock, which does not count suspension of the machine, while the grace period goes on: the process would be killed with requests in progress. Ruled out: a larger margin, which would cut requests short on all other stops. Change: a stopwatch of both clocks.

--- a/internal/run/relay/stop.go
+++ b/internal/run/relay/stop.go
@@ -27,17 +27,35 @@
 	r.logger("relay").Info("Graceful shutdown has started; the readiness check now fails.")
 	r.stopping.Store(true)
 	r.serving.Store(false)
-	start := time.Now()
+	watch := startStopwatch(time.Now, bootClock)
 	for work.Err() == nil {
 		sleep(work, stopPoll)
 		quiet := time.Duration(r.now()) - time.Duration(r.lastPacket.Load())
-		if shutdownComplete(time.Since(start), quiet, r.limits.Load().StopWithin) {
+		if shutdownComplete(watch.elapsed(), quiet, r.limits.Load().StopWithin) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// stopwatch measures the time of a graceful shutdown by two clocks. The platform's grace period goes on while the machine is suspended, which the
+// monotonic clock does not count.
+type stopwatch struct {
+	now       func() time.Time
+	boot      func() time.Duration
+	started   time.Time
+	bootStart time.Duration
+}
+
+func startStopwatch(now func() time.Time, boot func() time.Duration) *stopwatch {
+	return &stopwatch{now: now, boot: boot, started: now(), bootStart: boot()}
+}
+
+// elapsed returns the time since the start, including suspension.
+func (s *stopwatch) elapsed() time.Duration {
+	return max(s.now().Sub(s.started), s.boot()-s.bootStart)
+}
+
 // shutdownComplete reports whether a graceful shutdown is complete; since is the time from its start, quiet the time from the last packet, and
 // within the time within which it must be complete.
 func shutdownComplete(since, quiet, within time.Duration) bool {
