Split the read at a start from the later ones

Cause: reading the diff: one function held both and their common end. No behaviour changes; one log line says more.

--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -83,24 +83,29 @@
 	}
 }
 
-// readStore reads the store and reports the outcome to the scheduler. If this instance is the reader, it also assigns itself an ordinal.
+// readStore reads the store and reports the outcome to the scheduler. An instance without a snapshot takes it from the reader if there is one.
 func (f *follower) readStore(ctx context.Context) {
 	start := f.now()
 	readCtx, cancel := f.withIdleTimeout(ctx, f.scheduler.StoreTimeout())
 	defer cancel()
-	next, records, err := f.currentSnapshot(), []model.ReaderRecord(nil), error(nil)
-	if next.Revision == 0 {
-		var list model.Listing[model.ReaderRecord]
-		if list, err = countingRead(f.Relay, f.cfg.ReaderRecords.Read)(readCtx); err == nil {
-			if f.startFromReader(ctx, f.ownRecord(list.Items)) {
-				return
-			}
-			records = list.Items
-			next, err = f.readFirst(readCtx, list)
-		}
-	} else {
-		next, records, err = f.readSnapshot(readCtx, next)
+	if have := f.currentSnapshot(); have.Revision != 0 {
+		next, records, err := f.readSnapshot(readCtx, have)
+		f.finishStoreRead(ctx, start, next, records, err)
+		return
+	}
+	records, err := countingRead(f.Relay, f.cfg.ReaderRecords.Read)(readCtx)
+	if err == nil && f.startFromReader(ctx, f.ownRecord(records.Items)) {
+		return
+	}
+	var next model.Snapshot
+	if err == nil {
+		next, err = f.readFirst(readCtx, records)
 	}
+	f.finishStoreRead(ctx, start, next, records.Items, err)
+}
+
+// finishStoreRead applies what a read of the store that started at start has returned, or records its failure.
+func (f *follower) finishStoreRead(ctx context.Context, start model.Instant, next model.Snapshot, records []model.ReaderRecord, err error) {
 	now := f.now()
 	if ctx.Err() != nil {
 		return
@@ -138,7 +143,7 @@
 		f.applySnapshot(ctx, snap)
 	} else {
 		f.counts.Counter("platform.lead_failed").Inc(1)
-		f.logger("platform").With("holder", lead.Holder).With("error", err).Warn("The lead reader does not answer; reading the platform's store instead.")
+		f.logger("platform").With("holder", lead.Holder).With("error", err).Warn("The lead reader does not answer or is no reader any more; reading the platform's store instead.")
 	}
 	f.scheduler.FinishLeadPoll(now, snap.Age, f.ownRecord(snap.Readers), ok)
 	if ok {
--- a/internal/run/relay/read.go
+++ b/internal/run/relay/read.go
@@ -37,8 +37,8 @@
 }
 
 // catchUp updates a snapshot by reading only the changes since its revision. Upstreams change far more often than the rest, which is read only
-// if their changes and those of the reader records do not account for every new revision. ok is false if the store withholds changes or no longer has them; everything has
-// to be read then.
+// if their changes and those of the reader records do not account for every new revision. ok is false if the store withholds changes or no
+// longer has them; everything has to be read then.
 func (r *Relay) catchUp(ctx context.Context, have model.Snapshot, records *model.Listing[model.ReaderRecord]) (snap model.Snapshot, ok bool) {
 	var upstreams model.Changes[model.Registration]
 	var routes model.Changes[model.RouteTable]
