Share the simulation of a scheduler between its tests; keep a platform text in the platform's folder

Cause: three tests of package fresh held the same loop; a test outside platform/ spelled a configuration of the platform. Change: one simulation of store, peer and instance; stand.RoutesText. The checks are the same: ages, failed reads, claims.

--- a/internal/core/fresh/lead_test.go
+++ b/internal/core/fresh/lead_test.go
@@ -117,47 +117,13 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			const tick = 10 * time.Millisecond
-			s := fresh.NewScheduler(fresh.SchedulerConfig{Self: "a", MaxStaleness: maxStaleness, LinkMbps: 1000})
-			confirmedAt, reportedAt, nextAt, pollEnd := model.Instant(0), model.Instant(0), model.Instant(0), model.Instant(0)
-			maxAge, reads := time.Duration(0), 0
-			for now := model.Instant(tick); now < model.Instant(60*time.Second); now = now.Add(tick) {
-				if tc.lead(now) && tc.leadStore(now) && now%model.Instant(time.Second) == 0 {
-					reportedAt = now
-				}
-				if confirmedAt > 0 {
-					maxAge = max(maxAge, now.Sub(confirmedAt))
-				}
-				if now < nextAt {
-					continue
-				}
-				step, wait := s.Next(now)
-				if wait > 0 {
-					nextAt = now.Add(wait)
-					continue
-				}
-				if step == fresh.StepReadStore {
-					reads++
-					confirmedAt = now
-					s.FinishStoreRead(now, now, mine, true)
-					s.SetReaders([]model.ReaderRecord{ahead, mine})
-					continue
-				}
-				if pollEnd == 0 {
-					pollEnd = now.Add(s.LeadPollWait(now))
-				}
-				published := reportedAt > confirmedAt
-				if !published && now < pollEnd {
-					continue
-				}
-				pollEnd = 0
-				confirmedAt = max(confirmedAt, reportedAt)
-				s.FinishLeadPoll(now, now.Sub(reportedAt), mine, published || tc.lead(now))
-			}
-			t.Logf("largest age %s, %d reads of the store", maxAge, reads)
-			is.New(t).True(maxAge <= maxStaleness/2)
+			sim := newSimulation(mine)
+			sim.peerAnswers, sim.peerStore, sim.readers = tc.lead, tc.leadStore, []model.ReaderRecord{ahead, mine}
+			sim.run(model.Instant(time.Minute))
+			t.Logf("largest age %s, %d reads of the store", sim.maxAge, sim.reads)
+			is.New(t).True(sim.maxAge <= maxStaleness/2)
 			if name == "no fault" {
-				is.New(t).Equal(reads, 1)
+				is.New(t).Equal(sim.reads, 1)
 			}
 		})
 	}
--- a/internal/core/fresh/scheduler_test.go
+++ b/internal/core/fresh/scheduler_test.go
@@ -135,53 +135,11 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			const tick = 10 * time.Millisecond
-			s := fresh.NewScheduler(fresh.SchedulerConfig{Self: "a", MaxStaleness: maxStaleness, LinkMbps: 1000})
-			confirmedAt, reportedAt := model.Instant(0), model.Instant(0)
-			maxAge := time.Duration(0)
-			record := theirs
-			nextAt := model.Instant(0)
-			// pollEnd is when the present poll of the reader ends at the latest; zero while there is none.
-			pollEnd := model.Instant(0)
-			for now := model.Instant(0); now < model.Instant(20*time.Second); now = now.Add(tick) {
-				if tc.reader(now) && tc.readerStore(now) && now%model.Instant(time.Second) == 0 {
-					reportedAt = now
-				}
-				if confirmedAt > 0 {
-					maxAge = max(maxAge, now.Sub(confirmedAt))
-				}
-				if now < nextAt {
-					continue
-				}
-				step, wait := s.Next(now)
-				if wait > 0 {
-					nextAt = now.Add(wait)
-					continue
-				}
-				switch step {
-				case fresh.StepReadStore:
-					s.FinishStoreRead(now, now, record, true)
-					confirmedAt = now
-				case fresh.StepPollReader:
-					if pollEnd == 0 {
-						pollEnd = now.Add(s.PollWait(now))
-					}
-					published := reportedAt > confirmedAt
-					if !published && now < pollEnd {
-						continue
-					}
-					pollEnd = 0
-					confirmedAt = max(confirmedAt, reportedAt)
-					s.FinishReaderPoll(now, now.Sub(reportedAt), published || tc.reader(now))
-				case fresh.StepClaimRole:
-					record = mine
-					record.Revision = 9
-					s.FinishClaim(now, record, true)
-				}
-			}
-			t.Logf("largest age %s", maxAge)
-			is.True(maxAge <= maxStaleness*2/3)
+			sim := newSimulation(theirs)
+			sim.peerAnswers, sim.peerStore = tc.reader, tc.readerStore
+			sim.run(model.Instant(20 * time.Second))
+			t.Logf("largest age %s", sim.maxAge)
+			is.New(t).True(sim.maxAge <= maxStaleness*2/3)
 		})
 	}
 }
@@ -255,46 +213,15 @@
 // TestCallsDuringOutage replays an outage of the store for all instances: the reader answers polls, but its data grows old. A follower must not add
 // a refused call for each of its retries, as hundreds of instances do so at the same time, and must go on with the reader once the store is back.
 func TestCallsDuringOutage(t *testing.T) {
-	const tick, outageEnd = 10 * time.Millisecond, model.Instant(20 * time.Second)
+	const outageEnd = model.Instant(20 * time.Second)
 	is := is.New(t)
-	s := fresh.NewScheduler(fresh.SchedulerConfig{Self: "a", MaxStaleness: maxStaleness, LinkMbps: 1000})
-	confirmedAt, reportedAt, pollEnd, nextAt := model.Instant(0), model.Instant(0), model.Instant(0), model.Instant(0)
-	reads, claims := 0, 0
-	for now := model.Instant(0); now < outageEnd.Add(5*time.Second); now = now.Add(tick) {
-		down := now > model.Instant(5*time.Second) && now < outageEnd
-		if !down && now%model.Instant(time.Second) == 0 {
-			reportedAt = now
-		}
-		if now < nextAt {
-			continue
-		}
-		step, wait := s.Next(now)
-		if wait > 0 {
-			nextAt = now.Add(wait)
-			continue
-		}
-		switch step {
-		case fresh.StepReadStore:
-			if down {
-				reads++
-			}
-			s.FinishStoreRead(now, now, theirs, !down)
-		case fresh.StepPollReader:
-			if pollEnd == 0 {
-				pollEnd = now.Add(s.PollWait(now))
-			}
-			if reportedAt > confirmedAt || now >= pollEnd {
-				pollEnd, confirmedAt = 0, reportedAt
-				s.FinishReaderPoll(now, now.Sub(reportedAt), true)
-			}
-		case fresh.StepClaimRole:
-			claims++
-			s.FinishClaim(now, theirs, !down)
-		}
-	}
-	t.Logf("%d reads and %d claims in 15 s of outage", reads, claims)
-	is.True(reads <= 12)
-	is.Equal(claims, 0)
-	step, _ := s.Next(outageEnd.Add(5 * time.Second))
+	sim := newSimulation(theirs)
+	up := func(now model.Instant) bool { return now <= failingAt || now >= outageEnd }
+	sim.peerStore, sim.store = up, up
+	sim.run(outageEnd.Add(5 * time.Second))
+	t.Logf("%d failed reads and %d claims in 15 s of outage", sim.failedReads, sim.claims)
+	is.True(sim.failedReads <= 12)
+	is.Equal(sim.claims, 0)
+	step, _ := sim.s.Next(outageEnd.Add(5 * time.Second))
 	is.Equal(step, fresh.StepPollReader)
 }
--- a/internal/proof/direct/direct_test.go
+++ b/internal/proof/direct/direct_test.go
@@ -260,7 +260,7 @@
 // settings and configurations on standard input; an error must name the field or route at fault.
 func TestCheckCommand(t *testing.T) {
 	good := string(stand.Settings{Name: "a", Domain: "east", Packets: feedAddress, Ready: feedAddress, Control: feedAddress, Store: feedAddress}.TOML())
-	routes := `{"version":7,"routes":[{"name":"a","hostname":"198.18.0.1","path-prefix":"/443/","route-type":"safe","service":"desk"}],"services":[]}`
+	routes := stand.RoutesText("a", feedAddress)
 	cases := map[string]struct {
 		kind, text string
 		wantError  string
