--- a/internal/core/model/listing.go
+++ b/internal/core/model/listing.go
@@ -6,6 +6,13 @@
 	// Unreadable names the objects that could not be decoded; they are not in Items.
 	Unreadable []string
 	Revision   Revision
+	// Era is the era of Revision and of the revisions of Items.
+	Era Era
+}
+
+// At returns the state of the store that the listing shows.
+func (l Listing[T]) At() Position {
+	return Position{Era: l.Era, Revision: l.Revision}
 }
 
 // Changes is the difference between the objects of one kind at two revisions of the store.
@@ -22,11 +29,13 @@
 	Revisions []Revision
 	// Revision is the revision up to which the changes are complete.
 	Revision Revision
+	// Era is the era of all revisions.
+	Era Era
 }
 
-// Apply returns the listing after the changes; name returns the name of an object. The receiver is not modified.
+// Apply returns the listing after the changes, which must be of the same era; name returns the name of an object. The receiver is not modified.
 func (l Listing[T]) Apply(c Changes[T], name func(*T) string) Listing[T] {
-	out := Listing[T]{Revision: max(l.Revision, c.Revision)}
+	out := Listing[T]{Revision: max(l.Revision, c.Revision), Era: l.Era}
 	out.Items = Merge(l.Items, c.Items, append(c.Deleted[:len(c.Deleted):len(c.Deleted)], c.Unreadable...), name)
 	readable := make([]string, 0, len(c.Items)+len(c.Deleted))
 	for i := range c.Items {
--- a/internal/core/model/reader.go
+++ b/internal/core/model/reader.go
@@ -12,6 +12,8 @@
 	Control netip.AddrPort
 	// Revision is the store revision of the record's last change; zero if the record does not exist.
 	Revision Revision
+	// Era is the era of Revision.
+	Era Era
 }
 
 // Ordinal is the number of an instance among the instances of its failure domain. The zero value means that none is assigned.
--- a/internal/core/model/registry.go
+++ b/internal/core/model/registry.go
@@ -77,6 +77,8 @@
 	Version Version
 	// Revision is the store revision of the table; a higher one is newer.
 	Revision Revision
+	// Era is the era of Revision.
+	Era      Era
 	Routes   []Route
 	Services []ServiceLimits
 	// FlowIdle is the idle timeout of flows.
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -10,6 +10,8 @@
 type Snapshot struct {
 	// Revision is the store revision up to which every part is complete; a part may also contain later changes.
 	Revision Revision
+	// Era is the era of Revision.
+	Era Era
 	// Upstreams holds the registrations of all upstreams.
 	Upstreams Listing[Registration]
 	Routes    RouteTable
@@ -28,6 +30,11 @@
 	Ordinal Ordinal
 }
 
+// At returns the state of the store that the snapshot shows.
+func (s *Snapshot) At() Position {
+	return Position{Era: s.Era, Revision: s.Revision}
+}
+
 // KeepNewer returns s with each part that prev holds at a later revision taken from prev. Reverting a part to an earlier revision would
 // resurrect upstreams that have ended and remove new ones.
 func (s Snapshot) KeepNewer(prev Snapshot) Snapshot {
--- a/internal/oper/shell/status.go
+++ b/internal/oper/shell/status.go
@@ -60,8 +60,8 @@
 
 // printRelay prints the report of a relay instance.
 func printRelay(w status.WireRelayReport) {
-	fmt.Printf("%s in %s: ready %t, configuration %d with %d routes, store at revision %d confirmed %d ms ago, number %d of %d, %d flows\n",
-		w.Instance, w.Domain, w.Ready, w.Version, w.Routes, w.Revision, w.AgeMs, w.OrdinalIndex, w.OrdinalCount, w.Flows)
+	fmt.Printf("%s in %s: ready %t, configuration %d with %d routes, store at era %d, revision %d confirmed %d ms ago, number %d of %d, %d flows\n",
+		w.Instance, w.Domain, w.Ready, w.Version, w.Routes, w.Era, w.Revision, w.AgeMs, w.OrdinalIndex, w.OrdinalCount, w.Flows)
 	if len(w.DomainsOut) > 0 {
 		fmt.Printf("  failure domains out: %v\n", w.DomainsOut)
 	}
--- a/internal/oper/status/relay.go
+++ b/internal/oper/status/relay.go
@@ -28,6 +28,7 @@
 	Instance     string              `json:"instance"`
 	Domain       string              `json:"domain"`
 	Ready        bool                `json:"ready"`
+	Era          uint64              `json:"era"`
 	Revision     uint64              `json:"revision"`
 	AgeMs        int64               `json:"ageMs"`
 	Version      uint64              `json:"configurationVersion"`
@@ -61,6 +62,7 @@
 		Instance:     string(r.Instance),
 		Domain:       string(r.Domain),
 		Ready:        r.Ready,
+		Era:          uint64(r.Snapshot.Era),
 		Revision:     uint64(r.Snapshot.Revision),
 		AgeMs:        r.Age.Milliseconds(),
 		Version:      uint64(r.Snapshot.Routes.Version),
--- a/internal/peer/share/delta.go
+++ b/internal/peer/share/delta.go
@@ -65,7 +65,7 @@
 		return received, err
 	}
 	snap = have
-	snap.Readers = received.Readers
+	snap.Readers, snap.Era = received.Readers, received.Era
 	snap.Age, snap.GraceLeft, snap.Ordinal, snap.Revision = received.Age, received.GraceLeft, received.Ordinal, max(have.Revision, received.Revision)
 	if reply.Scope == scopeNothing {
 		return snap, nil
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -36,8 +36,9 @@
 // NextReply is the reply to a poll. It holds what the caller lacks of the peer's snapshot, according to Scope; an empty reply holds no
 // snapshot at all.
 type NextReply struct {
-	// Revision is that of the snapshot; zero in an empty reply.
+	// Revision is that of the snapshot; zero in an empty reply. Era is that of the snapshot and of its list of upstreams.
 	Revision uint64
+	Era      uint64
 	// Age is the time since the store confirmed the snapshot, in nanoseconds.
 	Age int64
 	// Unsure is the rest of the grace period after an outage of the store, in nanoseconds.
@@ -72,11 +73,12 @@
 	Holder   string
 	Control  string
 	Revision uint64
+	Era      uint64
 }
 
 func readersToWire(records []model.ReaderRecord) (out []Reader) {
 	for _, r := range records {
-		out = append(out, Reader{Domain: string(r.Domain), Holder: string(r.Holder), Control: r.Control.String(), Revision: uint64(r.Revision)})
+		out = append(out, Reader{Domain: string(r.Domain), Holder: string(r.Holder), Control: r.Control.String(), Revision: uint64(r.Revision), Era: uint64(r.Era)})
 	}
 	return out
 }
@@ -88,7 +90,7 @@
 			return nil, err
 		}
 		records = append(records, model.ReaderRecord{
-			Domain: model.DomainID(r.Domain), Holder: model.InstanceID(r.Holder), Control: control, Revision: model.Revision(r.Revision),
+			Domain: model.DomainID(r.Domain), Holder: model.InstanceID(r.Holder), Control: control, Revision: model.Revision(r.Revision), Era: model.Era(r.Era),
 		})
 	}
 	return records, nil
@@ -112,6 +114,7 @@
 type Routes struct {
 	Version  uint64
 	Revision uint64
+	Era      uint64
 	FlowIdle int64
 	Routes   []Route
 	Services []Service
@@ -142,7 +145,7 @@
 
 // toWire returns a reply of the given scope; missing holds the changes for scopeChanges.
 func toWire(snap *model.Snapshot, sc scope, missing delta) NextReply {
-	out := NextReply{Revision: uint64(snap.Revision), Age: int64(snap.Age), Unsure: int64(snap.GraceLeft), Scope: sc}
+	out := NextReply{Revision: uint64(snap.Revision), Era: uint64(snap.Era), Age: int64(snap.Age), Unsure: int64(snap.GraceLeft), Scope: sc}
 	if sc == scopeNothing {
 		return out
 	}
@@ -189,7 +192,7 @@
 }
 
 func routesToWire(t *model.RouteTable, include func(name string) bool) Routes {
-	out := Routes{Version: uint64(t.Version), Revision: uint64(t.Revision), FlowIdle: int64(t.FlowIdle)}
+	out := Routes{Version: uint64(t.Version), Revision: uint64(t.Revision), Era: uint64(t.Era), FlowIdle: int64(t.FlowIdle)}
 	for _, r := range t.Routes {
 		if !include(r.Name) {
 			continue
@@ -208,13 +211,13 @@
 
 func fromWire(w *NextReply) (snap model.Snapshot, err error) {
 	snap = model.Snapshot{
-		Revision: model.Revision(w.Revision), Age: time.Duration(w.Age), GraceLeft: time.Duration(w.Unsure), Ordinal: model.Ordinal{Index: w.Index, Count: w.Of},
+		Revision: model.Revision(w.Revision), Era: model.Era(w.Era), Age: time.Duration(w.Age), GraceLeft: time.Duration(w.Unsure), Ordinal: model.Ordinal{Index: w.Index, Count: w.Of},
 	}
 	if snap.Readers, err = readersFromWire(w.Readers); err != nil {
 		return snap, err
 	}
 	snap.OutRevision = model.Revision(w.OutAt)
-	snap.Upstreams = model.Listing[model.Registration]{Unreadable: w.Unreadable, Revision: model.Revision(w.ListedAt)}
+	snap.Upstreams = model.Listing[model.Registration]{Unreadable: w.Unreadable, Revision: model.Revision(w.ListedAt), Era: model.Era(w.Era)}
 	for _, u := range w.Upstreams {
 		address, err := netip.ParseAddrPort(u.Address)
 		if err != nil {
@@ -241,7 +244,7 @@
 }
 
 func routesFromWire(w *Routes) (t model.RouteTable, err error) {
-	t = model.RouteTable{Version: model.Version(w.Version), Revision: model.Revision(w.Revision), FlowIdle: time.Duration(w.FlowIdle)}
+	t = model.RouteTable{Version: model.Version(w.Version), Revision: model.Revision(w.Revision), Era: model.Era(w.Era), FlowIdle: time.Duration(w.FlowIdle)}
 	for _, r := range w.Routes {
 		address, err := netip.ParseAddrPort(r.Address)
 		if err != nil {
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -114,14 +114,14 @@
 	if after == 0 {
 		return c.reread(ctx, name, above)
 	}
-	events, rev, err := c.store.Watch(ctx, KindObjects, after, WatchTimeout)
+	events, at, err := c.store.Watch(ctx, KindObjects, after, WatchTimeout)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return c.reread(ctx, name, above)
 	}
 	if err != nil {
 		return Object{}, err
 	}
-	c.setPosition(name, rev)
+	c.setPosition(name, at.Revision)
 	for i := len(events) - 1; i >= 0; i-- {
 		if events[i].Object.Name == name && !events[i].Deleted {
 			return decode(events[i].Object)
@@ -133,15 +133,15 @@
 // reread lists the current objects. It replaces a watch if there is no position to resume from, or if the store has compacted the changes
 // since that position.
 func (c *Client) reread(ctx context.Context, name string, above model.Version) (Object, error) {
-	items, rev, err := c.store.List(ctx, KindObjects)
+	items, at, err := c.store.List(ctx, KindObjects)
 	if err != nil {
 		return Object{}, err
 	}
-	if rev == 0 {
+	if at.Revision == 0 {
 		// A watch needs a revision to resume from; without one, the caller would repeat the list without a pause.
 		return Object{}, ErrNoRevision
 	}
-	c.setPosition(name, rev)
+	c.setPosition(name, at.Revision)
 	for _, item := range items {
 		if item.Name == name && model.Version(item.Revision) > above {
 			return decode(item)
--- a/internal/run/relay/bootstrap.go
+++ b/internal/run/relay/bootstrap.go
@@ -12,9 +12,9 @@
 type bootstrap struct {
 	relay *Relay
 	ctx   context.Context
-	// current is a revision of the store from after the start. Parts that are older may name upstreams that have left, so nothing is served from
+	// current is a state of the store from after the start. Parts that are older may name upstreams that have left, so nothing is served from
 	// them.
-	current model.Revision
+	current model.Position
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -30,31 +30,31 @@
 	pending []model.Registration
 }
 
-// routes adds the route table, which is complete up to a revision.
-func (b *bootstrap) routes(t model.RouteTable, rev model.Revision) {
-	b.update(rev, func() { b.table = &t })
+// routes adds the route table, which is complete up to a state of the store.
+func (b *bootstrap) routes(t model.RouteTable, at model.Position) {
+	b.update(at, func() { b.table = &t })
 }
 
-// domainsOut adds the failure domains that are out of service, which are complete up to a revision.
-func (b *bootstrap) domainsOut(list []model.DomainID, rev model.Revision) {
-	b.update(rev, func() { b.out, b.outRead = list, true })
+// domainsOut adds the failure domains that are out of service, which are complete up to a state of the store.
+func (b *bootstrap) domainsOut(list []model.DomainID, at model.Position) {
+	b.update(at, func() { b.out, b.outRead = list, true })
 }
 
-// upstreams adds a page of the upstreams that was read at a revision.
-func (b *bootstrap) upstreams(list []model.Registration, rev model.Revision) {
-	b.update(rev, func() { b.pending = append(b.pending, list...) })
+// upstreams adds a page of the upstreams that was read at a state of the store.
+func (b *bootstrap) upstreams(list []model.Registration, at model.Position) {
+	b.update(at, func() { b.pending = append(b.pending, list...) })
 }
 
 // update runs set. Once routes, failure domains and upstreams are available and none is outdated, it passes the new ones to the engine and
 // makes the instance ready. It does nothing if b is nil, which is the case for an instance that is already serving.
-func (b *bootstrap) update(rev model.Revision, set func()) {
+func (b *bootstrap) update(at model.Position, set func()) {
 	if b == nil {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	set()
-	b.outdated = b.outdated || rev < b.current
+	b.outdated = b.outdated || at.Revision < b.current.Revision
 	if b.outdated || b.table == nil || !b.outRead || len(b.pending) == 0 {
 		return
 	}
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
 )
@@ -53,7 +54,8 @@
 			f.readStore(ctx)
 		}
 		if s.IsReader() != wasReader {
-			r.logger("platform").With("reading", s.IsReader()).With("holder", s.ReaderRecord().Holder).
+			record := s.ReaderRecord()
+			r.logger("platform").With("reading", s.IsReader()).With("holder", record.Holder).With("era", record.Era).With("revision", record.Revision).With("step", step).
 				Info("The reader role of the failure domain has changed; while reading is true, this instance reads the platform's store for the others.")
 		}
 	}
@@ -116,7 +118,7 @@
 		return
 	}
 	next.Age, next.GraceLeft, next.Readers = now.Sub(start), 0, records
-	f.applySnapshot(ctx, next)
+	f.applySnapshot(ctx, next, fromStore)
 	f.scheduler.FinishStoreRead(now, start, f.ownRecord(records), true)
 	f.confirmRole(ctx, now, start, records)
 }
@@ -140,7 +142,7 @@
 	now := f.now()
 	ok := err == nil && len(snap.Readers) > 0
 	if ok {
-		f.applySnapshot(ctx, snap)
+		f.applySnapshot(ctx, snap, fromLead)
 	} else {
 		f.counts.Counter("platform.lead_failed").Inc(1)
 		f.logger("platform").With("holder", lead.Holder).With("error", err).Warn("The lead reader does not answer or is no reader any more; reading the platform's store instead.")
@@ -199,7 +201,7 @@
 // pollReader waits for the next update from the reader of the failure domain.
 func (f *follower) pollReader(ctx context.Context) {
 	reader := f.scheduler.ReaderRecord()
-	snap, err := f.fetch(ctx, reader.Control, f.scheduler.PollWait(f.now()))
+	snap, err := f.fetch(ctx, reader.Control, f.scheduler.PollWait(f.now()), fromReader)
 	if ctx.Err() != nil {
 		return
 	}
@@ -214,12 +216,12 @@
 }
 
 // fetch polls another instance and applies the snapshot that it returns.
-func (r *Relay) fetch(ctx context.Context, peer netip.AddrPort, wait time.Duration) (model.Snapshot, error) {
+func (r *Relay) fetch(ctx context.Context, peer netip.AddrPort, wait time.Duration, from snapshotSource) (model.Snapshot, error) {
 	snap, err := r.share.Poll(ctx, peer, r.currentSnapshot(), wait)
 	if err != nil {
 		return snap, err
 	}
-	r.applySnapshot(ctx, snap)
+	r.applySnapshot(ctx, snap, from)
 	return snap, nil
 }
 
@@ -252,7 +254,7 @@
 			if seed == r.cfg.Control || r.currentSnapshot().Revision != 0 {
 				continue
 			}
-			if _, err := r.fetch(ctx, seed, 0); err != nil {
+			if _, err := r.fetch(ctx, seed, 0, fromSeed); err != nil {
 				r.counts.Counter("platform.seed_failed").Inc(1)
 			}
 		}
@@ -267,13 +269,28 @@
 	return r.snapshot
 }
 
+// snapshotSource says where a snapshot came from; its values occur in logs.
+type snapshotSource string
+
+// The sources of snapshots.
+const (
+	fromStore  snapshotSource = "store"
+	fromReader snapshotSource = "reader"
+	fromLead   snapshotSource = "lead"
+	fromSeed   snapshotSource = "seed"
+)
+
 // applySnapshot makes a snapshot current, unless the current one is newer, and publishes it to the instances that poll this one.
-func (r *Relay) applySnapshot(ctx context.Context, snap model.Snapshot) {
+func (r *Relay) applySnapshot(ctx context.Context, snap model.Snapshot, from snapshotSource) {
 	r.snapshotMu.Lock()
 	defer r.snapshotMu.Unlock()
 	if snap.Revision < r.snapshot.Revision {
+		r.logDiscarded(&snap, from)
 		return
 	}
+	if snap.Era != r.snapshot.Era && r.snapshot.Revision != 0 {
+		r.logRestored(&snap, from)
+	}
 	snap = snap.KeepNewer(r.snapshot)
 	arrived := r.now()
 	snap.GraceLeft = r.outages.Confirm(arrived, arrived.Add(-snap.Age), snap.GraceLeft)
@@ -281,6 +298,7 @@
 	first := r.snapshot.Revision == 0
 	r.snapshot = snap
 	r.revision.Store(uint64(snap.Revision))
+	r.era.Store(uint64(snap.Era))
 	r.confirmedAt.Store(int64(arrived.Add(-snap.Age)))
 	r.share.Publish(snap)
 	r.submit(ctx, func(now model.Instant) {
@@ -291,14 +309,32 @@
 		r.engine.Roster().Confirm(now, arrived.Add(-snap.Age))
 		if first {
 			r.discardStateChanges()
-			r.logger("platform").With("upstreams", len(snap.Upstreams.Items)).With("revision", snap.Revision).With("ageMs", snap.Age.Milliseconds()).
-				Info("The first snapshot of the platform's store is complete.")
+			r.logger("platform").With("upstreams", len(snap.Upstreams.Items)).With("era", snap.Era).With("revision", snap.Revision).With("ageMs", snap.Age.Milliseconds()).
+				With("source", from).Info("The first snapshot of the platform's store is complete.")
 			r.startServing(ctx, now)
 		}
 		r.act(ctx, now, r.engine.ReleaseHeld(now))
 	})
 }
 
+// logDiscarded logs and counts a snapshot that is older than the current one; r.snapshotMu must be held.
+func (r *Relay) logDiscarded(snap *model.Snapshot, from snapshotSource) {
+	r.counts.Counter("platform.snapshots_discarded").Inc(1)
+	r.snapshotLogger(snap, from).Info("A snapshot of the platform's store was discarded because the current one is newer.")
+}
+
+// logRestored logs that a snapshot is the first one since the store was restored from an older copy; r.snapshotMu must be held.
+func (r *Relay) logRestored(snap *model.Snapshot, from snapshotSource) {
+	r.counts.Counter("platform.restores").Inc(1)
+	r.snapshotLogger(snap, from).Warn("The platform's store was restored from an older copy; changes that it lost take effect again when they are written again.")
+}
+
+// snapshotLogger returns a logger with the state and the source of a snapshot and the state of the current one; r.snapshotMu must be held.
+func (r *Relay) snapshotLogger(snap *model.Snapshot, from snapshotSource) logs.Logger {
+	return r.logger("platform").With("source", from).With("era", snap.Era).With("revision", snap.Revision).With("ageMs", snap.Age.Milliseconds()).
+		With("currentEra", r.snapshot.Era).With("currentRevision", r.snapshot.Revision)
+}
+
 // discardStateChanges discards the state changes of upstreams that the first read of the registry causes: one log line each would take a
 // starting instance longer than the read itself. It runs in the decision loop.
 func (r *Relay) discardStateChanges() {
@@ -322,6 +358,6 @@
 	r.engine.Roster().Sync(now, snap.Upstreams)
 	if r.engine.SetRoutes(snap.Routes) {
 		r.logger("platform").With("version", snap.Routes.Version).With("revision", snap.Routes.Revision).With("routes", len(snap.Routes.Routes)).
-			With("age", snap.Age).Info("A new route configuration is active.")
+			With("era", snap.Routes.Era).With("age", snap.Age).Info("A new route configuration is active.")
 	}
 }
--- a/internal/run/relay/read.go
+++ b/internal/run/relay/read.go
@@ -32,7 +32,7 @@
 		r.counts.Counter("platform.lists").Inc(1)
 		snap, err = r.readAll(ctx, nil)
 	}
-	snap.Revision = list.Revision
+	snap.Revision, snap.Era = list.Revision, list.Era
 	return snap, list.Items, err
 }
 
@@ -108,30 +108,30 @@
 		return err
 	})
 	g.Go(func() error {
-		list, err := readList(ctx, r, r.cfg.Routes, b, func([]model.RouteTable, model.Revision) {})
+		list, err := readList(ctx, r, r.cfg.Routes, b, func([]model.RouteTable, model.Position) {})
 		routesAt = list.Revision
 		if len(list.Items) > 0 {
 			snap.Routes = list.Items[0]
-			b.routes(list.Items[0], list.Revision)
+			b.routes(list.Items[0], list.At())
 		}
 		r.reportUnreadable(0, list.Unreadable)
 		return err
 	})
 	g.Go(func() error {
-		list, err := readList(ctx, r, r.cfg.DomainsOut, b, func([]model.DomainID, model.Revision) {})
+		list, err := readList(ctx, r, r.cfg.DomainsOut, b, func([]model.DomainID, model.Position) {})
 		snap.Out, snap.OutRevision = list.Items, list.Revision
 		if err == nil {
-			b.domainsOut(list.Items, list.Revision)
+			b.domainsOut(list.Items, list.At())
 		}
 		return err
 	})
 	err = g.Wait()
-	snap.Revision = min(snap.Upstreams.Revision, routesAt, snap.OutRevision)
+	snap.Revision, snap.Era = min(snap.Upstreams.Revision, routesAt, snap.OutRevision), snap.Upstreams.Era
 	return snap, err
 }
 
 // readList reads the list of one kind, in a state that may be old if b is not nil.
-func readList[T any](ctx context.Context, r *Relay, s Source[T], b *bootstrap, onPage func([]T, model.Revision)) (model.Listing[T], error) {
+func readList[T any](ctx context.Context, r *Relay, s Source[T], b *bootstrap, onPage func([]T, model.Position)) (model.Listing[T], error) {
 	if b == nil {
 		return countingRead(r, s.Read)(ctx)
 	}
--- a/internal/run/relay/read_test.go
+++ b/internal/run/relay/read_test.go
@@ -29,7 +29,7 @@
 }
 
 // ReadStale implements Source.
-func (s fakeSource[T]) ReadStale(context.Context, func([]T, model.Revision)) (model.Listing[T], error) {
+func (s fakeSource[T]) ReadStale(context.Context, func([]T, model.Position)) (model.Listing[T], error) {
 	if s.stale != nil {
 		return *s.stale, nil
 	}
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -68,7 +68,7 @@
 	}
 	fields := logs.Fields{
 		"kind": kind, "flow": a.Flow.Caller, "service": a.Flow.Service,
-		"revision": r.revision.Load(), "ageMs": now.Sub(model.Instant(r.confirmedAt.Load())).Milliseconds(),
+		"era": r.era.Load(), "revision": r.revision.Load(), "ageMs": r.snapshotAge(now).Milliseconds(),
 	}
 	if a.Reason != model.ReasonNone {
 		fields["reason"] = a.Reason.String()
@@ -90,6 +90,11 @@
 	r.recorder.log.WithAll(fields).Info(messages[kind])
 }
 
+// snapshotAge returns the time since the store last confirmed the current snapshot.
+func (r *Relay) snapshotAge(now model.Instant) time.Duration {
+	return now.Sub(model.Instant(r.confirmedAt.Load()))
+}
+
 // addUpstream adds the fields that identify an upstream and the current start of its process.
 func addUpstream(fields logs.Fields, u *roster.Upstream) {
 	fields["upstream"], fields["boot"], fields["upstreamTag"] = u.ID, u.Boot, u.Tag
@@ -137,6 +142,7 @@
 			continue
 		}
 		withUpstream(r.logger("roster"), ev.Upstream).With("service", ev.Upstream.Service).With("draining", ev.Upstream.Draining).
+			With("era", r.era.Load()).With("revision", r.revision.Load()).With("ageMs", r.snapshotAge(now).Milliseconds()).
 			Info("The registration state or the draining flag of an upstream has changed.")
 	}
 	if isolated := r.engine.Isolated(); isolated != r.isolated.Swap(isolated) {
@@ -173,6 +179,7 @@
 	queued, delay := r.egress.Queued()
 	r.counts.Gauge("egress.queued_bytes").Update(float64(queued))
 	r.counts.Gauge("egress.delay_seconds").Update(delay.Seconds())
-	r.counts.Gauge("knowledge.age_seconds").Update(now.Sub(model.Instant(r.confirmedAt.Load())).Seconds())
+	r.counts.Gauge("knowledge.age_seconds").Update(r.snapshotAge(now).Seconds())
+	r.counts.Gauge("knowledge.era").Update(float64(r.era.Load()))
 	r.counts.Gauge("knowledge.revision").Update(float64(r.revision.Load()))
 }
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -43,8 +43,8 @@
 	// Read returns all objects.
 	Read(ctx context.Context) (model.Listing[T], error)
 	// ReadStale returns all objects in a state that may be seconds old and is complete up to the listing's revision. While it reads a long list,
-	// it passes each page and its revision to onPage.
-	ReadStale(ctx context.Context, onPage func([]T, model.Revision)) (model.Listing[T], error)
+	// it passes each page and its state to onPage.
+	ReadStale(ctx context.Context, onPage func([]T, model.Position)) (model.Listing[T], error)
 	// ChangesSince returns the changes after a revision. It fails if the store no longer has them.
 	ChangesSince(ctx context.Context, after model.Revision) (model.Changes[T], error)
 }
@@ -152,10 +152,11 @@
 	lastStall atomic.Int64
 	// lastPacket is the instant at which the last packet was handled.
 	lastPacket atomic.Int64
-	// revision is that of the current snapshot, and confirmedAt the instant at which the store last confirmed it. They are for logs and metrics.
-	revision    atomic.Uint64
-	confirmedAt atomic.Int64
-	recorder    recorder
+	// era and revision are those of the current snapshot, and confirmedAt is the instant at which the store last confirmed it. They are for logs
+	// and metrics.
+	era, revision atomic.Uint64
+	confirmedAt   atomic.Int64
+	recorder      recorder
 	// stall is used by the decision loop only.
 	stall *stallDetector
 	// handshakes and answers are the histograms of the latencies that the engine measures.
--- a/internal/run/relay/serve.go
+++ b/internal/run/relay/serve.go
@@ -48,7 +48,7 @@
 	select {
 	case report := <-reply:
 		report.Instance, report.Domain, report.Ready = r.cfg.Instance, r.cfg.Domain, r.serving.Load() && !r.isolated.Load()
-		report.Snapshot, report.Ordinal, report.Age = r.currentSnapshot(), *r.ordinal.Load(), r.now().Sub(model.Instant(r.confirmedAt.Load()))
+		report.Snapshot, report.Ordinal, report.Age = r.currentSnapshot(), *r.ordinal.Load(), r.snapshotAge(r.now())
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(status.RelayToWire(report))
 	case <-req.Context().Done():
--- a/internal/run/relay/start.go
+++ b/internal/run/relay/start.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	f.counts.Counter("platform.started_from_reader").Inc(1)
-	f.applySnapshot(ctx, snap)
+	f.applySnapshot(ctx, snap, fromReader)
 	f.scheduler.StartFromReader(f.now(), record, snap.Age)
 	f.setOrdinal(ctx, snap.Ordinal)
 	return true
@@ -44,7 +44,7 @@
 // readFirst reads the first snapshot, given a list of the reader records that was read just before. It reads lists that may be seconds old, which
 // cost a tenth, and serves from them as soon as they are not older than the records; otherwise it adds the changes since.
 func (r *Relay) readFirst(ctx context.Context, records model.Listing[model.ReaderRecord]) (snap model.Snapshot, err error) {
-	snap, err = r.readAll(ctx, &bootstrap{relay: r, ctx: ctx, current: records.Revision})
+	snap, err = r.readAll(ctx, &bootstrap{relay: r, ctx: ctx, current: records.At()})
 	if err != nil || snap.Revision >= records.Revision {
 		return snap, err
 	}
