End an upstream only by a confirmation from after the grace period

What callers saw: a flow was reset with upstream_gone while its upstream served.

Cause: Roster.Confirm and Complete compared the time of arrival with the end of the grace period, not the time for which the store vouches. Class: a conclusion from absence drawn from data that is older than the moment at which the absence began to count.

Change: an upstream ends, and an unknown tag belongs to no upstream, only once the store has confirmed the listing after the grace period; an upstream also has to have been missing for the grace time by then. An instance that gets no new confirmation ends nothing. Looked for elsewhere: removals by Sync outside a grace period need a later revision, so they state an event and no absence; reset on failed handshakes and probes uses own evidence.

--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -63,7 +63,7 @@
 		switch {
 		case p.expired(now):
 			e.drop(&p.seg, nil, model.ReasonHeldTooLong)
-		case p.seg.Syn || !e.waitsForTag(now, &p.seg):
+		case p.seg.Syn || !e.waitsForTag(&p.seg):
 			e.dispatch(now, &p.seg)
 		default:
 			e.held = append(e.held, *p)
@@ -72,13 +72,13 @@
 }
 
 // waitsForTag reports whether the upstream of a packet may be one that this instance does not know yet.
-func (e *Engine) waitsForTag(now model.Instant, seg *model.Segment) bool {
+func (e *Engine) waitsForTag(seg *model.Segment) bool {
 	r := e.routes[seg.Flow.Service]
 	if r == nil || seg.Tag == 0 || e.resolve(r, nil, seg) != nil {
 		return false
 	}
 	since := e.unknownTags.Peek(unknownTag{service: seg.Flow.Service, tag: seg.Tag})
-	return since == nil || !e.roster.Complete(now, *since)
+	return since == nil || !e.roster.Complete(*since)
 }
 
 // expireHeld drops the packets that have been held for too long.
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -108,7 +108,7 @@
 	}
 	key := unknownTag{service: seg.Flow.Service, tag: seg.Tag}
 	since := e.unknownTags.Touch(now, key)
-	if since != nil && e.roster.Complete(now, *since) {
+	if since != nil && e.roster.Complete(*since) {
 		e.terminate(seg, f, nil, model.ReasonUpstreamGone)
 		return
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -119,22 +119,23 @@
 	r.graceUntil = max(r.graceUntil, until)
 }
 
-// Confirm records that the store has confirmed the roster to be current at confirmedAt. After the grace period, upstreams that have been
-// missing for OutageGrace are declared gone.
+// Confirm records that the store has confirmed the roster to be current at confirmedAt. If that is after the grace period, upstreams that had
+// been missing for OutageGrace by then are declared gone. A confirmation that is older says nothing, whenever it arrives: the registration may
+// have reappeared since.
 func (r *Roster) Confirm(now, confirmedAt model.Instant) {
 	r.confirmedAt = max(r.confirmedAt, confirmedAt)
-	if now < r.graceUntil {
+	if confirmedAt < r.graceUntil {
 		return
 	}
-	for _, u := range r.matching(func(u *Upstream) bool { return u.State == StateMissing && now.Sub(u.Since) >= OutageGrace }) {
+	for _, u := range r.matching(func(u *Upstream) bool { return u.State == StateMissing && confirmedAt.Sub(u.Since) >= OutageGrace }) {
 		r.markGone(now, u)
 	}
 }
 
 // Complete reports whether the roster is certain to contain every upstream that was running at the given time: the store has confirmed
-// the roster since, the grace period is over, and all registrations could be decoded.
-func (r *Roster) Complete(now, since model.Instant) bool {
-	return r.confirmedAt > since && now >= r.graceUntil && !r.hasUnreadable
+// the roster since then and since the end of the grace period, and all registrations could be decoded.
+func (r *Roster) Complete(since model.Instant) bool {
+	return r.confirmedAt > since && r.confirmedAt >= r.graceUntil && !r.hasUnreadable
 }
 
 // ExpireTags removes the tags of upstreams that ended at least TagRetention ago.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -133,7 +133,37 @@
 		t.Run(name, func(t *testing.T) {
 			r := roster.New(roster.Config{TagRetention: time.Minute})
 			tc.steps(r)
-			is.New(t).Equal(r.Complete(afterGrace.Add(2), afterGrace), tc.want)
+			is.New(t).Equal(r.Complete(afterGrace), tc.want)
+		})
+	}
+}
+
+// TestEndedByOldConfirmation guards against upstreams that are declared gone although the store has not confirmed, since the end of the grace period,
+// that their registration is missing: it may have reappeared meanwhile.
+func TestEndedByOldConfirmation(t *testing.T) {
+	graceUntil := afterGrace.Add(roster.OutageGrace)
+	cases := map[string]struct {
+		// confirmedAt is when the store confirmed the listing that lacks the registration, as received well after the grace period.
+		confirmedAt model.Instant
+		want        roster.State
+		complete    bool
+	}{
+		"confirmed after the grace period":        {confirmedAt: graceUntil, want: roster.StateGone, complete: true},
+		"confirmed within the grace period":       {confirmedAt: graceUntil - 1, want: roster.StateMissing},
+		"confirmed before the start of the grace": {confirmedAt: afterGrace.Add(-5 * time.Second), want: roster.StateMissing},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.Sync(0, listing(registration(1, 1)))
+			up := r.Get("a")
+			r.ExtendGrace(graceUntil)
+			r.Sync(afterGrace, listing())
+			now := graceUntil.Add(time.Second)
+			r.Confirm(now, tc.confirmedAt)
+			is.Equal(up.State, tc.want)
+			is.Equal(r.Complete(afterGrace-1), tc.complete)
 		})
 	}
 }
