--- a/internal/core/direct/hold_test.go
+++ b/internal/core/direct/hold_test.go
@@ -88,7 +88,7 @@
 	known := newHarness(t, threeUpstreams()...)
 	last := known.engine.Roster().ByService("desk")[2]
 	h := newStartingHarness(t)
-	h.engine.Roster().Add(h.now, threeUpstreams()[:2])
+	h.engine.Roster().Add(h.now, threeUpstreams()[:2], 0)
 	h.engine.SetReady(h.now)
 	for port := uint16(1); port <= flows; port++ {
 		h.Equal(h.data(port, feedAddress, last.Tag).Verb, model.VerbHold)
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -35,10 +35,10 @@
 	return Position{Era: s.Era, Revision: s.Revision}
 }
 
-// KeepNewer returns s with each part that prev holds at a later revision taken from prev. Reverting a part to an earlier revision would
-// resurrect upstreams that have ended and remove new ones.
+// KeepNewer returns s with each part that prev holds of a later state taken from prev. Reverting a part to an earlier state would resurrect
+// upstreams that have ended and remove new ones.
 func (s Snapshot) KeepNewer(prev Snapshot) Snapshot {
-	if s.Upstreams.Revision < prev.Upstreams.Revision {
+	if s.Upstreams.At().Compare(prev.Upstreams.At()) < 0 {
 		s.Upstreams = prev.Upstreams
 	}
 	if s.Routes.Revision < prev.Routes.Revision {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -85,7 +85,7 @@
 	listed := make(map[model.UpstreamID]bool, len(list.Items))
 	for i := range list.Items {
 		listed[list.Items[i].ID] = true
-		r.upsert(now, &list.Items[i])
+		r.upsert(now, &list.Items[i], list.Era)
 	}
 	for _, name := range list.Unreadable {
 		listed[model.UpstreamID(name)] = true
@@ -107,10 +107,10 @@
 	return list
 }
 
-// Add applies a part of a listing. Upstreams that it does not contain are left as they are: they may be in another part.
-func (r *Roster) Add(now model.Instant, items []model.Registration) {
+// Add applies a part of a listing of an era. Upstreams that it does not contain are left as they are: they may be in another part.
+func (r *Roster) Add(now model.Instant, items []model.Registration, era model.Era) {
 	for i := range items {
-		r.upsert(now, &items[i])
+		r.upsert(now, &items[i], era)
 	}
 }
 
@@ -209,10 +209,11 @@
 	return changes
 }
 
-// upsert applies a registration. A new run under a known ID ends the previous run. Registrations older than the known one are ignored.
-func (r *Roster) upsert(now model.Instant, reg *model.Registration) {
+// upsert applies a registration that was listed in an era. A new run under a known ID ends the previous run. Registrations older than the known
+// one are ignored.
+func (r *Roster) upsert(now model.Instant, reg *model.Registration, era model.Era) {
 	u := r.current[reg.ID]
-	if u != nil && reg.Revision != 0 && reg.Revision < u.Revision {
+	if u != nil && reg.Revision != 0 && (model.Position{Era: era, Revision: reg.Revision}).Compare(u.written()) < 0 {
 		return
 	}
 	if u != nil && (u.Boot != reg.Boot || u.Service != reg.Service || u.Address != reg.Address) {
@@ -230,7 +231,7 @@
 	if u.Draining != reg.Draining {
 		r.changes = append(r.changes, StateChange{Upstream: u, State: u.State})
 	}
-	u.Registration = *reg
+	u.Registration, u.Era = *reg, era
 	r.setState(now, u, StateListed)
 	r.supersede(now, u)
 }
@@ -264,7 +265,7 @@
 		later, earlier = other, u
 	}
 	r.addresses[u.Address] = later
-	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.Revision >= later.Revision {
+	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.written().Compare(later.written()) >= 0 {
 		return
 	}
 	earlier.superseded = true
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -81,6 +81,15 @@
 			steps: func(r *roster.Roster) { r.Sync(afterGrace, listing(registration(2, 5))) },
 			want:  roster.StateGone,
 		},
+		"new run under the same ID, at a lower revision after the store was restored": {
+			steps: func(r *roster.Roster) {
+				r.Sync(afterGrace, listing(registration(1, 9)))
+				restored := listing(registration(2, 5))
+				restored.Era = 1
+				r.Sync(afterGrace, restored)
+			},
+			want: roster.StateGone,
+		},
 		"registration becomes unreadable": {
 			steps: func(r *roster.Roster) {
 				r.Sync(afterGrace, model.Listing[model.Registration]{Unreadable: []string{"a"}})
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -41,6 +41,8 @@
 // Upstream is one run of an upstream, from a start of its process to its exit.
 type Upstream struct {
 	model.Registration
+	// Era is the era in which the registration was last listed.
+	Era model.Era
 	// Tag identifies this run inside the packets of a flow; never zero.
 	Tag   model.RoutingTag
 	State State
@@ -62,6 +64,11 @@
 	return now < u.ColdUntil
 }
 
+// written returns the state of the store in which the registration was last written.
+func (u *Upstream) written() model.Position {
+	return model.Position{Era: u.Era, Revision: u.Revision}
+}
+
 // routingTag derives the tag of a run of an upstream from its registration alone, so that all instances compute the same tag.
 func routingTag(r *model.Registration) model.RoutingTag {
 	var buf [24]byte
--- a/internal/peer/share/delta.go
+++ b/internal/peer/share/delta.go
@@ -65,9 +65,15 @@
 		return received, err
 	}
 	snap = have
-	snap.Readers, snap.Era = received.Readers, received.Era
-	snap.Age, snap.GraceLeft, snap.Ordinal, snap.Revision = received.Age, received.GraceLeft, received.Ordinal, max(have.Revision, received.Revision)
+	snap.Readers = received.Readers
+	snap.Age, snap.GraceLeft, snap.Ordinal = received.Age, received.GraceLeft, received.Ordinal
+	if received.At().Compare(have.At()) > 0 {
+		snap.Era, snap.Revision = received.Era, received.Revision
+	}
 	if reply.Scope == scopeNothing {
+		if snap.Era != have.Era {
+			snap.Upstreams.Era, snap.Upstreams.Revision = snap.Era, snap.Revision
+		}
 		return snap, nil
 	}
 	snap.Out, snap.OutRevision = received.Out, received.OutRevision
@@ -75,6 +81,7 @@
 		Items:      model.Merge(have.Upstreams.Items, received.Upstreams.Items, reply.GoneUpstreams, model.UpstreamName),
 		Unreadable: received.Upstreams.Unreadable,
 		Revision:   received.Upstreams.Revision,
+		Era:        received.Upstreams.Era,
 	}
 	snap.Routes = received.Routes
 	snap.Routes.Routes = model.Merge(have.Routes.Routes, received.Routes.Routes, reply.GoneRoutes, model.RouteName)
--- a/internal/run/relay/bootstrap.go
+++ b/internal/run/relay/bootstrap.go
@@ -12,14 +12,14 @@
 type bootstrap struct {
 	relay *Relay
 	ctx   context.Context
-	// current is a state of the store from after the start. Parts that are older may name upstreams that have left, so nothing is served from
-	// them.
+	// current is a state of the store from after the start. Parts that are older may name upstreams that have left, and parts of another era do not
+	// add up with the others, so nothing is served from them.
 	current model.Position
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 
-	// outdated is set once a part was older than current.
+	// outdated is set once a part was older than current or of another era.
 	outdated bool
 
 	table *model.RouteTable
@@ -54,15 +54,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	set()
-	b.outdated = b.outdated || at.Revision < b.current.Revision
+	b.outdated = b.outdated || at.Era != b.current.Era || at.Revision < b.current.Revision
 	if b.outdated || b.table == nil || !b.outRead || len(b.pending) == 0 {
 		return
 	}
-	r, table, out, pending := b.relay, *b.table, b.out, b.pending
+	r, table, out, pending, era := b.relay, *b.table, b.out, b.pending, b.current.Era
 	b.pending = nil
 	r.submit(b.ctx, func(now model.Instant) {
 		r.engine.Roster().SetOut(now, out)
-		r.engine.Roster().Add(now, pending)
+		r.engine.Roster().Add(now, pending, era)
 		r.discardStateChanges()
 		r.engine.SetRoutes(table)
 		r.startServing(b.ctx, now)
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -284,7 +284,7 @@
 func (r *Relay) applySnapshot(ctx context.Context, snap model.Snapshot, from snapshotSource) {
 	r.snapshotMu.Lock()
 	defer r.snapshotMu.Unlock()
-	if snap.Revision < r.snapshot.Revision {
+	if snap.At().Compare(r.snapshot.At()) < 0 {
 		r.logDiscarded(&snap, from)
 		return
 	}
@@ -293,7 +293,7 @@
 	}
 	snap = snap.KeepNewer(r.snapshot)
 	arrived := r.now()
-	snap.GraceLeft = r.outages.Confirm(arrived, arrived.Add(-snap.Age), snap.GraceLeft)
+	snap.GraceLeft = r.outages.Confirm(arrived, arrived.Add(-snap.Age), snap.Era, snap.GraceLeft)
 	newer := snap.Digest() != r.snapshot.Digest()
 	first := r.snapshot.Revision == 0
 	r.snapshot = snap
--- a/internal/run/relay/read.go
+++ b/internal/run/relay/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"hawthorncourse/internal/core/fresh"
@@ -17,12 +18,15 @@
 	catchUpFactor = 3
 )
 
-// readSnapshot returns the current contents of the store, given the contents at an earlier revision. It reads the reader records first: their
-// list carries the store's revision, so nothing else has to be read if that has not changed.
+// errRestored means that the parts of a read show the store before and after it was restored from an older copy.
+var errRestored = eris.New("platform store was restored from an older copy during the read")
+
+// readSnapshot returns the current contents of the store, given the contents at an earlier state. It reads the reader records first: their list
+// carries the store's state, so nothing else has to be read if that has not changed.
 func (r *Relay) readSnapshot(ctx context.Context, have model.Snapshot) (snap model.Snapshot, records []model.ReaderRecord, err error) {
 	start := r.now()
 	list, err := countingRead(r, r.cfg.ReaderRecords.Read)(ctx)
-	if err != nil || list.Revision == have.Revision {
+	if err != nil || list.At() == have.At() {
 		return have, list.Items, err
 	}
 	catchUpCtx, cancel := context.WithTimeout(ctx, max(minCatchUpTimeout, catchUpFactor*r.now().Sub(start)))
@@ -32,18 +36,21 @@
 		r.counts.Counter("platform.lists").Inc(1)
 		snap, err = r.readAll(ctx, nil)
 	}
-	snap.Revision, snap.Era = list.Revision, list.Era
+	if err == nil && snap.Era != list.Era {
+		err = errRestored
+	}
+	snap.Revision = list.Revision
 	return snap, list.Items, err
 }
 
 // catchUp updates a snapshot by reading only the changes since its revision. Upstreams change far more often than the rest, which is read only
-// if their changes and those of the reader records do not account for every new revision. ok is false if the store withholds changes or no
-// longer has them; everything has to be read then.
+// if their changes and those of the reader records do not account for every new revision. ok is false if the store withholds changes, no longer
+// has them or was restored since; everything has to be read then.
 func (r *Relay) catchUp(ctx context.Context, have model.Snapshot, records *model.Listing[model.ReaderRecord]) (snap model.Snapshot, ok bool) {
 	var upstreams model.Changes[model.Registration]
 	var routes model.Changes[model.RouteTable]
 	var out model.Changes[model.DomainID]
-	if readChanges(ctx, r, r.cfg.Upstreams, have.Revision, &upstreams) != nil {
+	if have.Era != records.Era || readChanges(ctx, r, r.cfg.Upstreams, have.At(), &upstreams) != nil {
 		return snap, false
 	}
 	revisions := upstreams.Revisions
@@ -58,8 +65,8 @@
 		return snap, true
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return readChanges(ctx, r, r.cfg.Routes, have.Revision, &routes) })
-	g.Go(func() error { return readChanges(ctx, r, r.cfg.DomainsOut, have.Revision, &out) })
+	g.Go(func() error { return readChanges(ctx, r, r.cfg.Routes, have.At(), &routes) })
+	g.Go(func() error { return readChanges(ctx, r, r.cfg.DomainsOut, have.At(), &out) })
 	if g.Wait() != nil {
 		return snap, false
 	}
@@ -80,10 +87,13 @@
 	return snap, true
 }
 
-// readChanges reads the changes of one kind.
-func readChanges[T any](ctx context.Context, r *Relay, s Source[T], after model.Revision, into *model.Changes[T]) (err error) {
-	*into, err = s.ChangesSince(ctx, after)
+// readChanges reads the changes of one kind since a state of the store. It fails with errRestored if they are of another era.
+func readChanges[T any](ctx context.Context, r *Relay, s Source[T], after model.Position, into *model.Changes[T]) (err error) {
+	*into, err = s.ChangesSince(ctx, after.Revision)
 	r.countCall(err)
+	if err == nil && into.Era != after.Era {
+		err = errRestored
+	}
 	return err
 }
 
@@ -96,11 +106,12 @@
 	}
 }
 
-// readAll reads the complete lists of upstreams, routes and failure domains in parallel. The snapshot's revision is the oldest of theirs.
+// readAll reads the complete lists of upstreams, routes and failure domains in parallel. The snapshot's revision is the oldest of theirs. It fails
+// with errRestored if they are of different eras.
 // If b is not nil, the lists may be seconds old, and the parts also go to b as they arrive.
 func (r *Relay) readAll(ctx context.Context, b *bootstrap) (snap model.Snapshot, err error) {
 	snap.Routes = r.currentSnapshot().Routes
-	var routesAt model.Revision
+	var routesAt, outAt model.Position
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
 		snap.Upstreams, err = readList(ctx, r, r.cfg.Upstreams, b, b.upstreams)
@@ -109,7 +120,7 @@
 	})
 	g.Go(func() error {
 		list, err := readList(ctx, r, r.cfg.Routes, b, func([]model.RouteTable, model.Position) {})
-		routesAt = list.Revision
+		routesAt = list.At()
 		if len(list.Items) > 0 {
 			snap.Routes = list.Items[0]
 			b.routes(list.Items[0], list.At())
@@ -119,14 +130,17 @@
 	})
 	g.Go(func() error {
 		list, err := readList(ctx, r, r.cfg.DomainsOut, b, func([]model.DomainID, model.Position) {})
-		snap.Out, snap.OutRevision = list.Items, list.Revision
+		snap.Out, snap.OutRevision, outAt = list.Items, list.Revision, list.At()
 		if err == nil {
 			b.domainsOut(list.Items, list.At())
 		}
 		return err
 	})
 	err = g.Wait()
-	snap.Revision, snap.Era = min(snap.Upstreams.Revision, routesAt, snap.OutRevision), snap.Upstreams.Era
+	if err == nil && (routesAt.Era != snap.Upstreams.Era || outAt.Era != snap.Upstreams.Era) {
+		err = errRestored
+	}
+	snap.Revision, snap.Era = min(snap.Upstreams.Revision, routesAt.Revision, outAt.Revision), snap.Upstreams.Era
 	return snap, err
 }
 
--- a/internal/run/relay/start.go
+++ b/internal/run/relay/start.go
@@ -45,7 +45,7 @@
 // cost a tenth, and serves from them as soon as they are not older than the records; otherwise it adds the changes since.
 func (r *Relay) readFirst(ctx context.Context, records model.Listing[model.ReaderRecord]) (snap model.Snapshot, err error) {
 	snap, err = r.readAll(ctx, &bootstrap{relay: r, ctx: ctx, current: records.At()})
-	if err != nil || snap.Revision >= records.Revision {
+	if err != nil || snap.At().Compare(records.At()) >= 0 {
 		return snap, err
 	}
 	r.counts.Counter("platform.stale_at_start").Inc(1)
--- a/internal/run/relay/start_test.go
+++ b/internal/run/relay/start_test.go
@@ -2,22 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"hawthorncourse/internal/base/count"
-	"hawthorncourse/internal/base/logs"
-	"hawthorncourse/internal/base/ring"
-	"hawthorncourse/internal/core/direct"
 	"hawthorncourse/internal/core/fresh"
 	"hawthorncourse/internal/core/model"
-	"hawthorncourse/internal/core/roster"
 	"hawthorncourse/internal/peer/share"
 )
 
@@ -44,11 +38,10 @@
 // TestStartFromReader checks that a starting instance takes its first snapshot from the reader only if the reader answers and has a recent one, and
 // that otherwise it turns to the store soon: after an outage of all instances, the reader on record may not run.
 func TestStartFromReader(t *testing.T) {
-	const maxStaleness = 3 * time.Second
 	upstream := model.Registration{ID: "a-1", Number: 1, Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80")}
 	snapshot := model.Snapshot{Revision: 7, Upstreams: model.Listing[model.Registration]{Items: []model.Registration{upstream}, Revision: 7}}
 	outdated := snapshot
-	outdated.Age = maxStaleness
+	outdated.Age = testStaleness
 	cases := map[string]struct {
 		// reader returns the reader record.
 		reader  func(*testing.T) model.ReaderRecord
@@ -85,19 +78,13 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			own, _ := newShare(t, "self")
-			s := fresh.NewScheduler(fresh.SchedulerConfig{Self: "self", MaxStaleness: maxStaleness})
-			r := &Relay{
-				cfg: Config{Instance: "self"}, log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New(), share: own,
-				scheduler: s, start: time.Now(), outages: fresh.NewOutageTracker(maxStaleness, roster.OutageGrace), commands: ring.New[command](8), engine: direct.New(direct.Config{}),
-			}
-			r.ordinals = newOrdinalAllocator(s, r.now)
+			r := newTestRelay(t)
 			f := &follower{Relay: r}
 			start := time.Now()
 			is.Equal(f.startFromReader(context.Background(), tc.reader(t)), tc.started)
 			is.True(time.Since(start) < time.Second)
 			is.Equal(r.currentSnapshot().Revision == snapshot.Revision, tc.started)
-			step, _ := s.Next(r.now())
+			step, _ := r.scheduler.Next(r.now())
 			is.Equal(step == fresh.StepPollReader, tc.started)
 		})
 	}
