--- a/internal/core/model/registry.go
+++ b/internal/core/model/registry.go
@@ -84,3 +84,8 @@
 	// FlowIdle is the idle timeout of flows.
 	FlowIdle time.Duration
 }
+
+// At returns the state of the store in which the table was written.
+func (t *RouteTable) At() Position {
+	return Position{Era: t.Era, Revision: t.Revision}
+}
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -50,16 +50,17 @@
 	return s
 }
 
-// Digest returns a hash of the content, which distinguishes snapshots of equal revision. It does not depend on the order of the items
-// and is zero if and only if the snapshot is empty (its revision is zero).
+// Digest returns a hash of the content, which distinguishes snapshots of equal revision. Objects are hashed by their revisions, which stand for
+// their contents within one era. The digest does not depend on the order of the items and is zero if and only if the snapshot is empty (its
+// revision is zero).
 func (s *Snapshot) Digest() uint64 {
 	if s.Revision == 0 {
 		return 0
 	}
-	sum := mix(uint64(s.Routes.Revision), 1)
+	sum := mix(uint64(s.Routes.Revision), 1) ^ mix(uint64(s.Routes.Era), 2) ^ mix(uint64(s.Era), 5)
 	for i := range s.Upstreams.Items {
 		u := &s.Upstreams.Items[i]
-		sum ^= mix(xxhash.Sum64String(string(u.ID)), uint64(u.Revision)+2)
+		sum ^= mix(xxhash.Sum64String(string(u.ID)), uint64(u.Revision)+6)
 	}
 	for _, name := range s.Upstreams.Unreadable {
 		sum ^= mix(xxhash.Sum64String(name), 3)
--- a/internal/core/model/snapshot_test.go
+++ b/internal/core/model/snapshot_test.go
@@ -46,6 +46,7 @@
 		"an upstream is unreadable":           func(s *model.Snapshot) { s.Upstreams.Unreadable = []string{"a"} },
 		"the route table has changed":         func(s *model.Snapshot) { s.Routes.Revision = 5 },
 		"no failure domain is out of service": func(s *model.Snapshot) { s.Out = nil },
+		"the store was restored":              func(s *model.Snapshot) { s.Era++ },
 		"the snapshot is empty":               func(s *model.Snapshot) { s.Revision = 0 },
 	}
 	original := base()
--- a/internal/peer/share/delta.go
+++ b/internal/peer/share/delta.go
@@ -17,16 +17,16 @@
 	upstreams, routes, deletedUpstreams, deletedRoutes []string
 }
 
-// newDelta compares two snapshots. Upstreams are compared by revision, routes by content.
+// newDelta compares two snapshots by content: a revision may stand for another content after a restore of the store.
 func newDelta(from, to *model.Snapshot) delta {
 	d := delta{from: from.Digest()}
-	before := make(map[model.UpstreamID]model.Revision, len(from.Upstreams.Items))
+	before := make(map[model.UpstreamID]*model.Registration, len(from.Upstreams.Items))
 	for i := range from.Upstreams.Items {
-		before[from.Upstreams.Items[i].ID] = from.Upstreams.Items[i].Revision
+		before[from.Upstreams.Items[i].ID] = &from.Upstreams.Items[i]
 	}
 	for i := range to.Upstreams.Items {
 		u := &to.Upstreams.Items[i]
-		if rev, known := before[u.ID]; !known || rev != u.Revision {
+		if old := before[u.ID]; old == nil || *old != *u {
 			d.upstreams = append(d.upstreams, string(u.ID))
 		}
 		delete(before, u.ID)
@@ -34,7 +34,7 @@
 	for id := range before {
 		d.deletedUpstreams = append(d.deletedUpstreams, string(id))
 	}
-	if from.Routes.Revision == to.Routes.Revision {
+	if from.Routes.At() == to.Routes.At() {
 		return d
 	}
 	old := make(map[string]*model.Route, len(from.Routes.Routes))
@@ -71,9 +71,6 @@
 		snap.Era, snap.Revision = received.Era, received.Revision
 	}
 	if reply.Scope == scopeNothing {
-		if snap.Era != have.Era {
-			snap.Upstreams.Era, snap.Upstreams.Revision = snap.Era, snap.Revision
-		}
 		return snap, nil
 	}
 	snap.Out, snap.OutRevision = received.Out, received.OutRevision
--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -78,6 +78,19 @@
 	return snap
 }
 
+// TestChangesAfterRestore checks that a poll after a restore of the store returns the complete snapshot although revisions were given out again for
+// other contents, and that its reply holds only what differs.
+func TestChangesAfterRestore(t *testing.T) {
+	p := newPair(t)
+	all := p.publishAndPoll(newSnapshot(10, 150, 40))
+
+	restored := newSnapshot(10, 150, 40)
+	restored.Era, restored.Upstreams.Era, restored.Routes.Era = 1, 1, 1
+	restored.Upstreams.Items[7].Draining = true
+	restored.Routes.Routes[3].Timeout = time.Minute
+	p.True(p.publishAndPoll(restored) < all/10)
+}
+
 // publishAndPoll publishes a snapshot, polls it and checks that it arrives unchanged. It returns the size of the reply in bytes.
 func (p *pair) publishAndPoll(snap model.Snapshot) int64 {
 	p.Helper()
