Order route configurations by their version, not by the store's revision

Cause: the revision of a table decided whether it replaces another. After a restore every write has a lower revision than the table in force. An order by era alone would be as wrong: the table in the copy is of the new era and older than the one in force.

Change: RouteTable.NewerThan compares versions; the same version written again counts as later, so that all instances end with the same state. A store that holds an older version than the active one is logged.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -225,7 +225,7 @@
 
 // SetRoutes installs a configuration if it is newer than the current one, and reports whether it did.
 func (e *Engine) SetRoutes(t model.RouteTable) bool {
-	if t.Revision <= e.table.Revision {
+	if !t.NewerThan(&e.table) {
 		return false
 	}
 	routes := make(map[netip.AddrPort]*route, len(t.Routes))
--- a/internal/core/model/registry.go
+++ b/internal/core/model/registry.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -75,7 +76,7 @@
 type RouteTable struct {
 	// Version is the version number that operators see; it increases, but not always by one.
 	Version Version
-	// Revision is the store revision of the table; a higher one is newer.
+	// Revision is the store revision of the table.
 	Revision Revision
 	// Era is the era of Revision.
 	Era      Era
@@ -85,6 +86,11 @@
 	FlowIdle time.Duration
 }
 
+// NewerThan reports whether t replaces other: a higher version does, which a restore of the store does not set back, and a later write of the same one.
+func (t *RouteTable) NewerThan(other *RouteTable) bool {
+	return cmp.Or(cmp.Compare(t.Version, other.Version), t.At().Compare(other.At())) > 0
+}
+
 // At returns the state of the store in which the table was written.
 func (t *RouteTable) At() Position {
 	return Position{Era: t.Era, Revision: t.Revision}
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -41,7 +41,7 @@
 	if s.Upstreams.At().Compare(prev.Upstreams.At()) < 0 {
 		s.Upstreams = prev.Upstreams
 	}
-	if s.Routes.Revision < prev.Routes.Revision {
+	if prev.Routes.NewerThan(&s.Routes) {
 		s.Routes = prev.Routes
 	}
 	if s.OutRevision < prev.OutRevision {
--- a/internal/core/model/snapshot_test.go
+++ b/internal/core/model/snapshot_test.go
@@ -31,6 +31,33 @@
 	}
 }
 
+// TestRouteTableOrder guards against route configurations that come back older: a restore of the store sets revisions back, but not versions.
+func TestRouteTableOrder(t *testing.T) {
+	table := func(version model.Version, era model.Era, rev model.Revision) model.RouteTable {
+		return model.RouteTable{Version: version, Era: era, Revision: rev}
+	}
+	cases := map[string]struct {
+		have, next model.RouteTable
+		newer      bool
+	}{
+		"a higher version":                              {have: table(49, 1, 88), next: table(53, 1, 91), newer: true},
+		"a lower version from a restored copy":          {have: table(49, 1, 88), next: table(20, 2, 35)},
+		"a higher version, written after a restore":     {have: table(49, 1, 88), next: table(51, 2, 60), newer: true},
+		"the same version, written again":               {have: table(49, 1, 88), next: table(49, 2, 60), newer: true},
+		"the same table":                                {have: table(49, 1, 88), next: table(49, 1, 88)},
+		"a higher version at a revision that was lost":  {have: table(49, 2, 60), next: table(53, 1, 91), newer: true},
+		"the same version from before it was rewritten": {have: table(49, 2, 60), next: table(49, 1, 88)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tc.next.NewerThan(&tc.have), tc.newer)
+			kept := model.Snapshot{Routes: tc.next}.KeepNewer(model.Snapshot{Routes: tc.have})
+			is.Equal(kept.Routes.At() == tc.next.At(), tc.newer || tc.next.At() == tc.have.At())
+		})
+	}
+}
+
 // TestDigest checks that snapshots of equal revision have different digests if any part differs, and that the order of items is irrelevant.
 func TestDigest(t *testing.T) {
 	is := is.New(t)
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -291,6 +291,10 @@
 	if snap.Era != r.snapshot.Era && r.snapshot.Revision != 0 {
 		r.logRestored(&snap, from)
 	}
+	if snap.Routes.Version < r.snapshot.Routes.Version {
+		r.snapshotLogger(&snap, from).With("version", snap.Routes.Version).With("currentVersion", r.snapshot.Routes.Version).
+			Warn("The platform's store holds an older route configuration than the active one, which stays active.")
+	}
 	snap = snap.KeepNewer(r.snapshot)
 	arrived := r.now()
 	snap.GraceLeft = r.outages.Confirm(arrived, arrived.Add(-snap.Age), snap.Era, snap.GraceLeft)
