Count the bytes of a reply directly in the tests of polls

Seen: TestChangesAfterRestore failed once (not true: bytes < all/10) beside other runs, in a run of all core packages on a machine with a load average of 29; the contents of the reply are determined by its input. The test read the bytes from a counter that tally reports every 500 ms, after a wait of 600 ms, so that a report that is 100 ms late moves bytes from one measurement to the next.

Change: the test counts the writes itself and waits until they have arrived. Its bounds are the same.

--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,7 +25,9 @@
 	suspicions map[model.InstanceID]chan model.Suspicion
 	readerAddr netip.AddrPort
 	counts     *count.Set
-	known      model.Snapshot
+	// sent is the number of bytes that the reader has sent.
+	sent  atomic.Int64
+	known model.Snapshot
 }
 
 func newPair(t *testing.T) *pair {
@@ -33,15 +36,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
 	p.ctx = ctx
-	start := func(id model.InstanceID, counts *count.Set) (*share.Share, netip.AddrPort) {
+	start := func(id model.InstanceID, counts *count.Set, onSent func(int)) (*share.Share, netip.AddrPort) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		p.NoErr(err)
-		s := share.New(share.Config{Self: id, Listener: l, Ordinals: ordinals{"asker": {Index: 2, Count: 5}}, Counts: counts, OnSuspicion: p.recordSuspicions(id)})
+		s := share.New(share.Config{Self: id, Listener: l, Ordinals: ordinals{"asker": {Index: 2, Count: 5}}, Counts: counts, OnSuspicion: p.recordSuspicions(id), OnSent: onSent})
 		go func() { _ = s.Run(ctx) }()
 		return s, netip.MustParseAddrPort(l.Addr().String())
 	}
-	p.reader, p.readerAddr = start("reader", p.counts)
-	p.poller, _ = start("asker", count.New())
+	p.reader, p.readerAddr = start("reader", p.counts, func(n int) { p.sent.Add(int64(n)) })
+	p.poller, _ = start("asker", count.New(), nil)
 	return p
 }
 
@@ -94,7 +97,7 @@
 // publishAndPoll publishes a snapshot, polls it and checks that it arrives unchanged. It returns the size of the reply in bytes.
 func (p *pair) publishAndPoll(snap model.Snapshot) int64 {
 	p.Helper()
-	before := p.bytesSent()
+	before := p.sent.Load()
 	p.reader.Publish(snap)
 	got, err := p.poller.Poll(p.ctx, p.readerAddr, p.known, 0)
 	p.NoErr(err)
@@ -102,17 +105,22 @@
 	got.Age, got.GraceLeft, got.Ordinal, snap.Age, snap.GraceLeft = 0, 0, model.Ordinal{}, 0, 0
 	p.Equal(got, snap)
 	p.known = got
-	return p.bytesSent() - before
+	return p.bytesSentSince(before)
 }
 
-// bytesSent returns the bytes that the reader has sent. It waits first, as counters are reported twice a second.
-func (p *pair) bytesSent() int64 {
-	time.Sleep(600 * time.Millisecond)
-	for _, total := range p.counts.Totals() {
-		if total.Name == "share.bytes_out" {
-			return total.Value
+// bytesSentSince returns the bytes that the reader has sent beyond the given number. The last of them may be counted shortly after their arrival.
+func (p *pair) bytesSentSince(before int64) int64 {
+	p.Helper()
+	last := before
+	for p.ctx.Err() == nil {
+		time.Sleep(50 * time.Millisecond)
+		now := p.sent.Load()
+		if now == last && now > before {
+			return now - before
 		}
+		last = now
 	}
+	p.NoErr(p.ctx.Err())
 	return 0
 }
 
