Keep failure domains out of service until operators have written again what a restore lost

Cause: the list of failure domains out of service was ordered by the store's revision alone, so that after a restore no list counted until revisions had caught up. A list of the new era alone would return a domain to service whose evacuation the copy lacks. Class: an order by a number of one history; and a conclusion from absence in a copy that is known to be incomplete.

Change: lists of another era replace each other whatever their revision; the roster keeps a domain out of service that the first list of a new era lacks, for the same time as registrations get to reappear, and returns it only by a confirmation from after that. Retained domains are logged.

--- a/internal/bench/replay/instance.go
+++ b/internal/bench/replay/instance.go
@@ -99,7 +99,7 @@
 // syncRegistry copies the current registry to the engine.
 func (in *instance) syncRegistry() {
 	in.engine.Roster().Sync(in.now(), in.sim.listing())
-	in.engine.Roster().SetOut(in.now(), in.sim.domainsOut)
+	in.engine.Roster().SetOut(in.now(), in.sim.domainsOut, 0)
 	in.engine.Roster().Confirm(in.now(), in.now())
 }
 
--- a/internal/core/direct/engine_test.go
+++ b/internal/core/direct/engine_test.go
@@ -166,7 +166,7 @@
 		},
 		"a failure domain that is taken out of service keeps its open flows and gets no new ones": func(h *harness) {
 			up := h.engine.Roster().ByService("desk")[0]
-			h.engine.Roster().SetOut(h.now, []model.DomainID{"east"})
+			h.engine.Roster().SetOut(h.now, []model.DomainID{"east"}, 0)
 			h.Equal(h.data(1, feedAddress, up.Tag).Upstream, up)
 			for port := uint16(10); port < 60; port++ {
 				h.Equal(h.syn(port, feedAddress, 0).Upstream.Domain, model.DomainID("west"))
--- a/internal/core/model/snapshot.go
+++ b/internal/core/model/snapshot.go
@@ -17,7 +17,7 @@
 	Routes    RouteTable
 	// Out lists the failure domains that operators have taken out of service.
 	Out []DomainID
-	// OutRevision is the revision up to which Out is complete.
+	// OutRevision is the revision up to which Out is complete, in the era of the snapshot.
 	OutRevision Revision
 	// Readers holds the reader records of all failure domains as of the last confirmation; empty in snapshots for instances that are no readers.
 	Readers []ReaderRecord
@@ -36,14 +36,17 @@
 }
 
 // KeepNewer returns s with each part that prev holds of a later state taken from prev. Reverting a part to an earlier state would resurrect
-// upstreams that have ended and remove new ones.
+// upstreams that have ended and remove new ones. Between snapshots of different eras, only the routes have an order.
 func (s Snapshot) KeepNewer(prev Snapshot) Snapshot {
-	if s.Upstreams.At().Compare(prev.Upstreams.At()) < 0 {
-		s.Upstreams = prev.Upstreams
-	}
 	if prev.Routes.NewerThan(&s.Routes) {
 		s.Routes = prev.Routes
 	}
+	if s.Era != prev.Era {
+		return s
+	}
+	if s.Upstreams.Revision < prev.Upstreams.Revision {
+		s.Upstreams = prev.Upstreams
+	}
 	if s.OutRevision < prev.OutRevision {
 		s.Out, s.OutRevision = prev.Out, prev.OutRevision
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -50,6 +51,12 @@
 	hasUnreadable bool
 	// outSince maps the failure domains that operators have taken out of service to the time at which that became known.
 	outSince map[model.DomainID]model.Instant
+	// retainedOut holds the domains in outSince that the store has not listed since it was restored from an older copy.
+	retainedOut map[model.DomainID]bool
+	// era is the era of the store in which the failure domains were listed, and retainUntil the end of the time in which operators write again what
+	// a restore has lost.
+	era         model.Era
+	retainUntil model.Instant
 	// changes collects state changes until TakeStateChanges returns them for the log.
 	changes []StateChange
 }
@@ -64,13 +71,14 @@
 // New returns an empty roster, whose grace period ends OutageGrace after the start of the process.
 func New(cfg Config) *Roster {
 	return &Roster{
-		cfg:        cfg,
-		current:    map[model.UpstreamID]*Upstream{},
-		tags:       map[tagKey]*Upstream{},
-		services:   map[model.ServiceID][]*Upstream{},
-		addresses:  map[netip.AddrPort]*Upstream{},
-		outSince:   map[model.DomainID]model.Instant{},
-		graceUntil: model.Instant(OutageGrace),
+		cfg:         cfg,
+		current:     map[model.UpstreamID]*Upstream{},
+		tags:        map[tagKey]*Upstream{},
+		services:    map[model.ServiceID][]*Upstream{},
+		addresses:   map[netip.AddrPort]*Upstream{},
+		outSince:    map[model.DomainID]model.Instant{},
+		retainedOut: map[model.DomainID]bool{},
+		graceUntil:  model.Instant(OutageGrace),
 	}
 }
 
@@ -124,6 +132,9 @@
 // have reappeared since.
 func (r *Roster) Confirm(now, confirmedAt model.Instant) {
 	r.confirmedAt = max(r.confirmedAt, confirmedAt)
+	if confirmedAt >= r.retainUntil {
+		r.releaseOut()
+	}
 	if confirmedAt < r.graceUntil {
 		return
 	}
@@ -178,8 +189,13 @@
 	return !out
 }
 
-// SetOut replaces the set of failure domains that operators have taken out of service.
-func (r *Roster) SetOut(now model.Instant, domains []model.DomainID) {
+// SetOut replaces the set of failure domains that operators have taken out of service, as listed in an era of the store. A domain that is out of
+// service stays so for OutageGrace if the first list of a new era lacks it: the store was restored from a copy from before it was taken out.
+func (r *Roster) SetOut(now model.Instant, domains []model.DomainID, era model.Era) {
+	if era != r.era && len(r.outSince) > 0 {
+		r.retainUntil = now.Add(OutageGrace)
+	}
+	r.era = era
 	out := make(map[model.DomainID]model.Instant, len(domains))
 	for _, d := range domains {
 		since, alreadyOut := r.outSince[d]
@@ -188,9 +204,30 @@
 		}
 		out[d] = since
 	}
+	clear(r.retainedOut)
+	if now < r.retainUntil {
+		for d, since := range r.outSince {
+			if _, listed := out[d]; !listed {
+				out[d], r.retainedOut[d] = since, true
+			}
+		}
+	}
 	r.outSince = out
 }
 
+// RetainedOut returns the failure domains that are out of service although the restored store does not list them, ordered by name.
+func (r *Roster) RetainedOut() []model.DomainID {
+	return slices.Sorted(maps.Keys(r.retainedOut))
+}
+
+// releaseOut returns the failure domains to service that operators have not taken out again since a restore of the store.
+func (r *Roster) releaseOut() {
+	for d := range r.retainedOut {
+		delete(r.outSince, d)
+	}
+	clear(r.retainedOut)
+}
+
 // Out reports whether a failure domain is out of service, and since when.
 func (r *Roster) Out(d model.DomainID) (since model.Instant, out bool) {
 	since, out = r.outSince[d]
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -185,11 +185,11 @@
 	}{
 		"listed":                        {change: func(*roster.Roster, *model.Registration) {}, want: true},
 		"draining":                      {change: func(_ *roster.Roster, reg *model.Registration) { reg.Draining = true }},
-		"failure domain out of service": {change: func(r *roster.Roster, _ *model.Registration) { r.SetOut(afterGrace, []model.DomainID{"east"}) }},
+		"failure domain out of service": {change: func(r *roster.Roster, _ *model.Registration) { r.SetOut(afterGrace, []model.DomainID{"east"}, 1) }},
 		"failure domain back in service": {
 			change: func(r *roster.Roster, _ *model.Registration) {
-				r.SetOut(afterGrace, []model.DomainID{"east"})
-				r.SetOut(afterGrace, nil)
+				r.SetOut(afterGrace, []model.DomainID{"east"}, 1)
+				r.SetOut(afterGrace, nil, 1)
 			},
 			want: true,
 		},
@@ -206,6 +206,50 @@
 	}
 }
 
+// TestOutAfterRestore guards against new flows into a failure domain whose evacuation is missing in the copy from which the store was restored, and
+// against a domain that stays out of service for good.
+func TestOutAfterRestore(t *testing.T) {
+	restored, rewritten := afterGrace, afterGrace.Add(2*time.Second)
+	released := restored.Add(roster.OutageGrace)
+	cases := map[string]struct {
+		steps func(*roster.Roster)
+		want  bool
+	}{
+		"missing in the copy": {steps: func(r *roster.Roster) { r.Confirm(restored, restored) }, want: true},
+		"missing in the copy, confirmed from before the restore": {
+			steps: func(r *roster.Roster) { r.Confirm(released.Add(time.Second), restored) }, want: true,
+		},
+		"written again": {
+			steps: func(r *roster.Roster) {
+				r.SetOut(rewritten, []model.DomainID{"east"}, 2)
+				r.Confirm(released.Add(time.Second), released.Add(time.Second))
+			},
+			want: true,
+		},
+		"written again, and returned to service": {
+			steps: func(r *roster.Roster) {
+				r.SetOut(rewritten, []model.DomainID{"east"}, 2)
+				r.SetOut(released, nil, 2)
+			},
+		},
+		"not written again": {steps: func(r *roster.Roster) { r.Confirm(released, released) }},
+		"a list of the same era": {steps: func(r *roster.Roster) {
+			r.SetOut(released, []model.DomainID{"east"}, 2)
+			r.SetOut(released, nil, 2)
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(roster.Config{})
+			r.SetOut(0, []model.DomainID{"east"}, 1)
+			r.SetOut(restored, nil, 2)
+			tc.steps(r)
+			_, out := r.Out("east")
+			is.New(t).Equal(out, tc.want)
+		})
+	}
+}
+
 // TestTags checks that two runs of an upstream have different tags, that a tag is found in its own service only, and that the tag of an
 // ended run expires.
 func TestTags(t *testing.T) {
--- a/internal/run/relay/bootstrap.go
+++ b/internal/run/relay/bootstrap.go
@@ -61,7 +61,7 @@
 	r, table, out, pending, era := b.relay, *b.table, b.out, b.pending, b.current.Era
 	b.pending = nil
 	r.submit(b.ctx, func(now model.Instant) {
-		r.engine.Roster().SetOut(now, out)
+		r.engine.Roster().SetOut(now, out, era)
 		r.engine.Roster().Add(now, pending, era)
 		r.discardStateChanges()
 		r.engine.SetRoutes(table)
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -358,7 +358,11 @@
 
 // installSnapshot passes a changed snapshot to the engine. It runs in the decision loop.
 func (r *Relay) installSnapshot(now model.Instant, snap *model.Snapshot) {
-	r.engine.Roster().SetOut(now, snap.Out)
+	r.engine.Roster().SetOut(now, snap.Out, snap.Era)
+	if retained := r.engine.Roster().RetainedOut(); len(retained) > 0 {
+		r.logger("platform").With("domains", retained).With("era", snap.Era).With("revision", snap.Revision).
+			Warn("Failure domains that the restored store does not list stay out of service until operators had time to write again.")
+	}
 	r.engine.Roster().Sync(now, snap.Upstreams)
 	if r.engine.SetRoutes(snap.Routes) {
 		r.logger("platform").With("version", snap.Routes.Version).With("revision", snap.Routes.Revision).With("routes", len(snap.Routes.Routes)).
