Keep an upstream draining that a restored copy of the store lists as ready

Cause: a list of a later era replaces what is known of an upstream, also by what it was before. Class: state that only moves one way taken back by an older copy.

Change: draining is final for an identified run, also after it has ended; a run without a start time is taken as listed, since a restart cannot be told apart.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -257,6 +257,7 @@
 		r.markGone(now, u)
 		u = nil
 	}
+	draining := reg.Draining || r.hasDrained(u, reg)
 	if u == nil {
 		if u = r.insert(now, reg); u == nil {
 			return
@@ -265,14 +266,28 @@
 		// ColdFor counts from the write, which was received later, so the end of the cold start is overestimated, never underestimated.
 		u.ColdUntil = now.Add(reg.ColdFor)
 	}
-	if u.Draining != reg.Draining {
+	if u.Draining != draining {
 		r.changes = append(r.changes, StateChange{Upstream: u, State: u.State})
 	}
 	u.Registration, u.Era = *reg, era
+	u.Draining = draining
 	r.setState(now, u, StateListed)
 	r.supersede(now, u)
 }
 
+// hasDrained reports whether the run that a registration names is known to drain or to have drained; u is the current run of that upstream, or nil.
+// A run that drains exits. A registration that says otherwise comes from a copy of the store from before, of which only an identified run can
+// be told apart from a new start.
+func (r *Roster) hasDrained(u *Upstream, reg *model.Registration) bool {
+	if reg.Boot == 0 {
+		return false
+	}
+	if u == nil {
+		u = r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
+	}
+	return u != nil && u.ID == reg.ID && u.Boot == reg.Boot && u.Draining
+}
+
 // insert adds a new run of an upstream. It returns nil if the run is known to have been superseded at its address.
 func (r *Roster) insert(now model.Instant, reg *model.Registration) *Upstream {
 	u := &Upstream{Tag: routingTag(reg), Registration: *reg, ColdUntil: now.Add(reg.ColdFor)}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -206,6 +206,39 @@
 	}
 }
 
+// TestDrainingIsFinal guards against new flows to an upstream that has announced its shutdown and that a copy of the store lists as it was before.
+func TestDrainingIsFinal(t *testing.T) {
+	draining := registration(3, 8)
+	draining.Draining = true
+	cases := map[string]struct {
+		// gone is set if the upstream has ended in between.
+		gone   bool
+		listed model.Registration
+		want   bool
+	}{
+		"the copy lists it as ready":                    {listed: registration(3, 5), want: true},
+		"the copy lists it as ready after it has ended": {gone: true, listed: registration(3, 5), want: true},
+		"it drains after the restore as well":           {listed: draining, want: true},
+		"a later run":                                   {listed: registration(4, 5)},
+		"a later run after it has ended":                {gone: true, listed: registration(4, 5)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.Sync(0, listing(draining))
+			if tc.gone {
+				r.Sync(afterGrace, listing())
+			}
+			restored := listing(tc.listed)
+			restored.Era = 1
+			r.Sync(afterGrace, restored)
+			is.Equal(r.Get("a").Draining, tc.want)
+			is.Equal(r.Usable(r.Get("a")), !tc.want)
+		})
+	}
+}
+
 // TestOutAfterRestore guards against new flows into a failure domain whose evacuation is missing in the copy from which the store was restored, and
 // against a domain that stays out of service for good.
 func TestOutAfterRestore(t *testing.T) {
