Compare reader records by the era of the store, then by revision

Cause: a record from before a restore has the higher revision and wins over its successor; a reader that was found unresponsive is remembered by a revision that is given out again, so its successor counts as unresponsive too. Class: as in both matters, an order and an identity by a number of one history.

Change: records, the lead and the failed reader are compared by era and revision. A record that a list lacks is vacant as of that list's era.

Measured: four new cases of TestNextStep and TestNextStepOfReader failed before (reader != lead, lead != reader, lead != claim, and a claim where the new reader should be polled), pass now.

--- a/internal/core/fresh/lead.go
+++ b/internal/core/fresh/lead.go
@@ -36,7 +36,7 @@
 // SetReaders records the reader records of all failure domains, of which one names the lead reader. A new lead reader is polled at once.
 func (s *Scheduler) SetReaders(records []model.ReaderRecord) {
 	lead := LeadReader(records)
-	if lead.Holder != s.lead.record.Holder || lead.Revision != s.lead.record.Revision {
+	if lead.Holder != s.lead.record.Holder || lead.At() != s.lead.record.At() {
 		s.lead.failedAt = 0
 	}
 	s.lead.record = lead
@@ -63,7 +63,7 @@
 	}
 	s.lead.failedAt = 0
 	s.confirmedAt = max(s.confirmedAt, now.Add(-age))
-	if own.Revision > s.record.Revision {
+	if own.At().Compare(s.record.At()) > 0 {
 		s.record = own
 	}
 }
--- a/internal/core/fresh/lead_test.go
+++ b/internal/core/fresh/lead_test.go
@@ -53,6 +53,32 @@
 			},
 			want: fresh.StepPollLead,
 		},
+		"another instance is on record in the copy from which the store was restored": {
+			outcomes: func(s *fresh.Scheduler) {
+				restored := theirs
+				restored.Era, restored.Revision = 1, 2
+				s.SetReaders([]model.ReaderRecord{ahead, mine})
+				s.FinishLeadPoll(later(0), 10*time.Millisecond, restored, true)
+			},
+			want: fresh.StepPollReader,
+		},
+		"no instance is on record in the copy from which the store was restored": {
+			outcomes: func(s *fresh.Scheduler) {
+				s.SetReaders([]model.ReaderRecord{ahead, mine})
+				s.FinishLeadPoll(later(0), 10*time.Millisecond, model.ReaderRecord{Domain: "east", Era: 1}, true)
+			},
+			want: fresh.StepClaimRole,
+		},
+		"the lead reader's records are from before the store was restored": {
+			outcomes: func(s *fresh.Scheduler) {
+				restored := mine
+				restored.Era, restored.Revision = 1, 2
+				s.FinishStoreRead(later(0), later(0), restored, true)
+				s.SetReaders([]model.ReaderRecord{ahead, restored})
+				s.FinishLeadPoll(later(0), 10*time.Millisecond, theirs, true)
+			},
+			want: fresh.StepPollLead,
+		},
 		"lead reader unresponsive": {
 			outcomes: func(s *fresh.Scheduler) {
 				s.SetReaders([]model.ReaderRecord{ahead, mine})
--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -55,8 +55,8 @@
 	// record is the reader record as last read; recordRead is set once it has been read.
 	record     model.ReaderRecord
 	recordRead bool
-	// failedRevision is the revision of the record whose reader was found unresponsive or outdated.
-	failedRevision model.Revision
+	// failed is the state of the store in which the record was written whose reader was found unresponsive or outdated; zero if there is none.
+	failed model.Position
 	// storeNext is set while the store has to be read instead of polling the reader.
 	storeNext bool
 	// readerAnswers is set if the reader answered the last poll, if only with outdated data.
@@ -148,7 +148,7 @@
 
 // roleVacant reports whether the reader role has no holder, or one that was found unresponsive or outdated.
 func (s *Scheduler) roleVacant() bool {
-	return s.record.Holder == "" || s.record.Revision == s.failedRevision
+	return s.record.Holder == "" || s.record.At() == s.failed
 }
 
 // ReaderRecord returns the reader record as last read.
@@ -221,13 +221,13 @@
 	}
 	// Data that would be outdated at the end of the shortest poll counts as outdated already.
 	if ok && age+minPollWait < s.MaxAge() {
-		if s.record.Revision == s.failedRevision {
+		if s.record.At() == s.failed {
 			// The reader that was outdated has recovered.
-			s.failedRevision = 0
+			s.failed = model.Position{}
 		}
 		return
 	}
-	s.failedRevision, s.storeNext = s.record.Revision, true
+	s.failed, s.storeNext = s.record.At(), true
 }
 
 // FinishClaim records the outcome of a claim: the current reader record, or ok false if the store did not answer.
--- a/internal/core/fresh/scheduler_test.go
+++ b/internal/core/fresh/scheduler_test.go
@@ -73,6 +73,16 @@
 			},
 			want: fresh.StepPollReader,
 		},
+		"reader unresponsive, and its revision given out again by a restore of the store": {
+			outcomes: func(s *fresh.Scheduler) {
+				next := theirs
+				next.Holder, next.Era = "c", 1
+				s.FinishStoreRead(0, 0, theirs, true)
+				s.FinishReaderPoll(0, 0, false)
+				s.FinishStoreRead(0, 0, next, true)
+			},
+			want: fresh.StepPollReader, wait: time.Second,
+		},
 		"another instance claimed first": {
 			outcomes: func(s *fresh.Scheduler) { s.FinishStoreRead(0, 0, vacant, true); s.FinishClaim(0, theirs, true) },
 			want:     fresh.StepPollReader,
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -96,7 +96,7 @@
 		return
 	}
 	records, err := countingRead(f.Relay, f.cfg.ReaderRecords.Read)(readCtx)
-	if err == nil && f.startFromReader(ctx, f.ownRecord(records.Items)) {
+	if err == nil && f.startFromReader(ctx, f.ownRecord(records.Items, records.Era)) {
 		return
 	}
 	var next model.Snapshot
@@ -119,7 +119,7 @@
 	}
 	next.Age, next.GraceLeft, next.Readers = now.Sub(start), 0, records
 	f.applySnapshot(ctx, next, fromStore)
-	f.scheduler.FinishStoreRead(now, start, f.ownRecord(records), true)
+	f.scheduler.FinishStoreRead(now, start, f.ownRecord(records, next.Era), true)
 	f.confirmRole(ctx, now, start, records)
 }
 
@@ -147,7 +147,7 @@
 		f.counts.Counter("platform.lead_failed").Inc(1)
 		f.logger("platform").With("holder", lead.Holder).With("error", err).Warn("The lead reader does not answer or is no reader any more; reading the platform's store instead.")
 	}
-	f.scheduler.FinishLeadPoll(now, snap.Age, f.ownRecord(snap.Readers), ok)
+	f.scheduler.FinishLeadPoll(now, snap.Age, f.ownRecord(snap.Readers, snap.Era), ok)
 	if ok {
 		f.confirmRole(ctx, now, now.Add(-snap.Age), snap.Readers)
 	}
@@ -188,14 +188,14 @@
 	f.storeDown = err != nil
 }
 
-// ownRecord returns the reader record of this instance's failure domain.
-func (r *Relay) ownRecord(records []model.ReaderRecord) model.ReaderRecord {
+// ownRecord returns the reader record of this instance's failure domain, given the records that were read in an era.
+func (r *Relay) ownRecord(records []model.ReaderRecord, era model.Era) model.ReaderRecord {
 	for _, record := range records {
 		if record.Domain == r.cfg.Domain {
 			return record
 		}
 	}
-	return model.ReaderRecord{Domain: r.cfg.Domain}
+	return model.ReaderRecord{Domain: r.cfg.Domain, Era: era}
 }
 
 // pollReader waits for the next update from the reader of the failure domain.
