Confirm an era that a peer reports, and count no earlier era as a confirmation

What callers may see: an instance that takes a wrong era from one peer ignores the store, with a higher one, or a reader, with a lower one, until it restarts; a follower that discards what its reader sends counts each poll as a confirmation. Found by reading, with the order by era in place.

Class: authority taken from a relayed message.

This costs each instance one read a restore.

--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -59,6 +59,8 @@
 	failed model.Position
 	// storeNext is set while the store has to be read instead of polling the reader.
 	storeNext bool
+	// verifyNext is set while the store has to be read because a peer has reported something that the store should confirm.
+	verifyNext bool
 	// readerAnswers is set if the reader answered the last poll, if only with outdated data.
 	readerAnswers bool
 	// awaitReader is set after a failed read of the store while the reader answers: the store probably rejects both, and the reader will pass
@@ -117,6 +119,8 @@
 func (s *Scheduler) Next(now model.Instant) (Step, time.Duration) {
 	wait := max(s.nextAt.Sub(now), 0)
 	switch {
+	case s.verifyNext:
+		return StepReadStore, wait
 	case s.pollsLead(now):
 		return StepPollLead, 0
 	case !s.recordRead || s.storeNext || s.record.Holder == s.self:
@@ -186,8 +190,15 @@
 	return maxAgeIntervals * s.pacer.Interval()
 }
 
+// ReadStoreNext makes the next step a read of the store, whoever is the reader.
+func (s *Scheduler) ReadStoreNext() {
+	s.verifyNext = true
+}
+
 // FinishStoreRead records the outcome of a read of the store that started at start.
 func (s *Scheduler) FinishStoreRead(now, start model.Instant, record model.ReaderRecord, ok bool) {
+	// An instance that the store does not answer keeps what it has heard.
+	s.verifyNext = false
 	s.nextAt = now.Add(s.pacer.FinishRead(ok, now.Sub(start)))
 	if !ok {
 		// The reader may have newer data than this instance can read from a store that does not respond to it.
--- a/internal/run/relay/apply_test.go
+++ b/internal/run/relay/apply_test.go
@@ -18,7 +18,11 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-const testStaleness = 3 * time.Second
+const (
+	testStaleness = 3 * time.Second
+	// pollDelay is how long a poll waits for a publication; it is far below the timeout of a poll.
+	pollDelay = 50 * time.Millisecond
+)
 
 // newTestRelay returns an instance without sockets, whose commands are queued and not run.
 func newTestRelay(t *testing.T) *Relay {
@@ -43,7 +47,9 @@
 func TestSnapshotOrder(t *testing.T) {
 	cases := map[string]struct {
 		have, next model.Snapshot
-		applied    bool
+		// from is the source of next; that of have is the reader.
+		from    snapshotSource
+		applied bool
 	}{
 		"later revision":                                  {have: snapshotAt(1, 58), next: snapshotAt(1, 88), applied: true},
 		"same revision":                                   {have: snapshotAt(1, 58), next: snapshotAt(1, 58), applied: true},
@@ -51,13 +57,15 @@
 		"lower revision after a restore":                  {have: snapshotAt(1, 88), next: snapshotAt(2, 58), applied: true},
 		"higher revision from before a restore":           {have: snapshotAt(2, 58), next: snapshotAt(1, 88)},
 		"the same revision, given out again by a restore": {have: snapshotAt(1, 58), next: snapshotAt(2, 58), applied: true},
+		"an era that the store itself does not confirm":   {have: snapshotAt(9, 58), next: snapshotAt(2, 60), from: fromStore, applied: true},
+		"earlier revision from the store":                 {have: snapshotAt(1, 88), next: snapshotAt(1, 58), from: fromStore},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := newTestRelay(t)
-			r.applySnapshot(context.Background(), tc.have, fromStore)
-			r.applySnapshot(context.Background(), tc.next, fromReader)
+			r.applySnapshot(context.Background(), tc.have, fromReader)
+			is.Equal(r.applySnapshot(context.Background(), tc.next, tc.from), tc.applied)
 			got, want := r.currentSnapshot(), tc.have
 			if tc.applied {
 				want = tc.next
@@ -67,3 +75,52 @@
 		})
 	}
 }
+
+// TestEraFromPeer guards against an era that is taken from one peer's word: the store is asked next, and an older era is no confirmation.
+func TestEraFromPeer(t *testing.T) {
+	cases := map[string]struct {
+		peerEra model.Era
+		want    fresh.Step
+	}{
+		"the same era":   {peerEra: 2, want: fresh.StepPollReader},
+		"a later era":    {peerEra: 9, want: fresh.StepReadStore},
+		"an earlier era": {peerEra: 1, want: fresh.StepReadStore},
+	}
+	polls := map[string]struct {
+		own  model.InstanceID
+		poll func(*follower)
+		// want replaces that of the case for a peer of the same era.
+		want fresh.Step
+	}{
+		"reader": {own: "peer", poll: func(f *follower) { f.pollReader(context.Background()) }, want: fresh.StepPollReader},
+		"lead":   {own: "self", poll: func(f *follower) { f.pollLead(context.Background()) }, want: fresh.StepPollLead},
+	}
+	for name, tc := range cases {
+		for role, p := range polls {
+			t.Run(name+", "+role, func(t *testing.T) {
+				is := is.New(t)
+				r := newTestRelay(t)
+				f := &follower{Relay: r}
+				peer, addr := newShare(t, "peer")
+				own := model.ReaderRecord{Domain: "east", Holder: p.own, Control: addr, Era: 2, Revision: 5}
+				lead := model.ReaderRecord{Domain: "centre", Holder: "peer", Control: addr, Era: 2, Revision: 6}
+				r.cfg.Domain = own.Domain
+				r.applySnapshot(context.Background(), snapshotAt(2, 60), fromStore)
+				r.scheduler.FinishStoreRead(r.now(), r.now(), own, true)
+				r.scheduler.SetReaders([]model.ReaderRecord{lead, own})
+				snap := snapshotAt(tc.peerEra, 70)
+				snap.Readers = []model.ReaderRecord{lead, own}
+				peer.Publish(snap)
+				// A poll waits for the next publication.
+				time.AfterFunc(pollDelay, func() { peer.Publish(snap) })
+				p.poll(f)
+				want := tc.want
+				if tc.peerEra == 2 {
+					want = p.want
+				}
+				step, _ := r.scheduler.Next(r.now())
+				is.Equal(step, want)
+			})
+		}
+	}
+}
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -142,7 +141,7 @@
 	now := f.now()
 	ok := err == nil && len(snap.Readers) > 0
 	if ok {
-		f.applySnapshot(ctx, snap, fromLead)
+		ok = f.applyPolled(ctx, snap, fromLead)
 	} else {
 		f.counts.Counter("platform.lead_failed").Inc(1)
 		f.logger("platform").With("holder", lead.Holder).With("error", err).Warn("The lead reader does not answer or is no reader any more; reading the platform's store instead.")
@@ -201,28 +200,30 @@
 // pollReader waits for the next update from the reader of the failure domain.
 func (f *follower) pollReader(ctx context.Context) {
 	reader := f.scheduler.ReaderRecord()
-	snap, err := f.fetch(ctx, reader.Control, f.scheduler.PollWait(f.now()), fromReader)
+	snap, err := f.share.Poll(ctx, reader.Control, f.currentSnapshot(), f.scheduler.PollWait(f.now()))
 	if ctx.Err() != nil {
 		return
 	}
+	ok := err == nil && f.applyPolled(ctx, snap, fromReader)
 	if err != nil {
 		f.counts.Counter("platform.reader_failed").Inc(1)
 		f.logger("platform").With("holder", reader.Holder).With("error", err).Warn("The reader of the failure domain does not answer; reading the platform's store instead.")
 	}
-	f.scheduler.FinishReaderPoll(f.now(), snap.Age, err == nil)
-	if err == nil {
+	f.scheduler.FinishReaderPoll(f.now(), snap.Age, ok)
+	if ok {
 		f.setOrdinal(ctx, snap.Ordinal)
 	}
 }
 
-// fetch polls another instance and applies the snapshot that it returns.
-func (r *Relay) fetch(ctx context.Context, peer netip.AddrPort, wait time.Duration, from snapshotSource) (model.Snapshot, error) {
-	snap, err := r.share.Poll(ctx, peer, r.currentSnapshot(), wait)
-	if err != nil {
-		return snap, err
+// applyPolled applies the snapshot of a peer. It reports false if the snapshot is of an earlier era than the current one, so that it confirms
+// nothing. An era that only the peer knows so far is checked by a read of the store, which has the last word.
+func (f *follower) applyPolled(ctx context.Context, snap model.Snapshot, from snapshotSource) (ok bool) {
+	era := f.currentSnapshot().Era
+	f.applySnapshot(ctx, snap, from)
+	if snap.Era > era {
+		f.scheduler.ReadStoreNext()
 	}
-	r.applySnapshot(ctx, snap, from)
-	return snap, nil
+	return snap.Era >= era
 }
 
 // claim tries to become the reader of the failure domain.
@@ -254,9 +255,12 @@
 			if seed == r.cfg.Control || r.currentSnapshot().Revision != 0 {
 				continue
 			}
-			if _, err := r.fetch(ctx, seed, 0, fromSeed); err != nil {
+			snap, err := r.share.Poll(ctx, seed, r.currentSnapshot(), 0)
+			if err != nil {
 				r.counts.Counter("platform.seed_failed").Inc(1)
+				continue
 			}
+			r.applySnapshot(ctx, snap, fromSeed)
 		}
 		sleep(ctx, seedRetryInterval)
 	}
@@ -280,13 +284,14 @@
 	fromSeed   snapshotSource = "seed"
 )
 
-// applySnapshot makes a snapshot current, unless the current one is newer, and publishes it to the instances that poll this one.
-func (r *Relay) applySnapshot(ctx context.Context, snap model.Snapshot, from snapshotSource) {
+// applySnapshot makes a snapshot current, unless the current one is newer, and publishes it to the instances that poll this one. It reports whether
+// it did.
+func (r *Relay) applySnapshot(ctx context.Context, snap model.Snapshot, from snapshotSource) (applied bool) {
 	r.snapshotMu.Lock()
 	defer r.snapshotMu.Unlock()
-	if snap.At().Compare(r.snapshot.At()) < 0 {
+	if r.outdated(&snap, from) {
 		r.logDiscarded(&snap, from)
-		return
+		return false
 	}
 	if snap.Era != r.snapshot.Era && r.snapshot.Revision != 0 {
 		r.logRestored(&snap, from)
@@ -319,6 +324,16 @@
 		}
 		r.act(ctx, now, r.engine.ReleaseHeld(now))
 	})
+	return true
+}
+
+// outdated reports whether a snapshot is older than the current one; r.snapshotMu must be held. What this instance has read from the store itself is
+// never outdated by a snapshot of another era, which may be known from a peer only.
+func (r *Relay) outdated(snap *model.Snapshot, from snapshotSource) bool {
+	if from == fromStore && snap.Era != r.snapshot.Era {
+		return false
+	}
+	return snap.At().Compare(r.snapshot.At()) < 0
 }
 
 // logDiscarded logs and counts a snapshot that is older than the current one; r.snapshotMu must be held.
