Do not extend the grace period when none is left

Since upstreams end only by a confirmation from after the grace period, and a confirmation is older than its arrival, none was ever late enough.

Measured: TestEndedDuringOutage failed before (timed out after 8s), passes now.

--- a/internal/proof/direct/restore_test.go
+++ b/internal/proof/direct/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -238,3 +239,26 @@
 	}
 	return false
 }
+
+// TestEndedDuringOutage guards against upstreams that stay in use for good: one that ended while the store was unavailable is given up after the
+// grace period.
+func TestEndedDuringOutage(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.Store.SetOutage(stand.OutageUnavailable)
+	time.Sleep(2 * time.Second)
+	ended := s.upstreams[0]
+	ended.Close()
+	ended.ExpireRegistration()
+	s.Store.SetOutage(stand.OutageNone)
+	for _, p := range s.Processes {
+		s.await(2*graceTime, p.Settings.Name+" to give up an upstream that ended", func() bool {
+			report := s.report(p)
+			return len(report.Upstreams) > 0 && !slices.ContainsFunc(report.Upstreams, func(u status.WireRelayUpstream) bool { return u.ID == ended.Name() })
+		})
+	}
+	s.load.ResetCounts()
+	time.Sleep(steadyTime)
+	s.checkServed()
+	s.checkInvariants()
+}
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -311,7 +311,9 @@
 	r.confirmedAt.Store(int64(arrived.Add(-snap.Age)))
 	r.share.Publish(snap)
 	r.submit(ctx, func(now model.Instant) {
-		r.engine.Roster().ExtendGrace(now.Add(snap.GraceLeft))
+		if snap.GraceLeft > 0 {
+			r.engine.Roster().ExtendGrace(now.Add(snap.GraceLeft))
+		}
 		if newer {
 			r.installSnapshot(now, &snap)
 		}
