Reset flows of an upstream that is gone from the registry only if it does not answer

Cause: the absence of a registration alone ended an upstream. It also follows from an expiry, which happens when the upstream's writes are lost, and then no outage is noticed and no grace period runs. Class: a conclusion from absence without evidence of one's own.

Change: an upstream that is gone from the registry gets no new flows, as before, and its open flows go on until it is replaced under its ID or at its address, or three probes have failed. It becomes suspect at once, so that flows of one that is down are reset after about 0.2 s; its failed probes say nothing about its failure domain.

--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -43,11 +43,14 @@
 		e.handleUnresolved(now, seg, f)
 		return
 	}
-	if up.State == roster.StateGone {
+	switch {
+	case up.Ended(now):
 		e.terminate(seg, f, up, model.ReasonUpstreamGone)
 		return
-	}
-	if seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable(f.isRetransmission(now, seg)) && !e.cfg.Disabled.Resets {
+	case up.State == roster.StateGone:
+		// It is probed only while it has flows here, so an earlier failure may be out of date.
+		e.startProbe(now, up)
+	case seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable(f.isRetransmission(now, seg)) && !e.cfg.Disabled.Resets:
 		// The caller may safely repeat its request, and a new flow is sent to a reachable upstream.
 		e.terminate(seg, f, up, model.ReasonUpstreamUnreachable)
 		return
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -83,7 +83,7 @@
 
 // startProbe requests a probe of an upstream if one is due and fewer than probeLimit are running.
 func (e *Engine) startProbe(now model.Instant, u *roster.Upstream) {
-	if u.State != roster.StateGone && e.activeProbes < probeLimit && u.Health.StartProbe(now) {
+	if !u.Replaced() && e.activeProbes < probeLimit && u.Health.StartProbe(now) {
 		e.activeProbes++
 		e.actions = append(e.actions, Action{Verb: model.VerbProbe, Upstream: u, Timeout: u.Health.ProbeTimeout()})
 	}
@@ -139,6 +139,10 @@
 		e.recordDomainSuccess(now, u.Domain)
 		return
 	}
+	if u.State == roster.StateGone {
+		// That it does not answer is what is expected, and says nothing about its failure domain.
+		return
+	}
 	if !wasEjected && u.Health.Ejected() {
 		e.addEvent(Event{Kind: EventUpstreamEjected, Upstream: u})
 	}
@@ -200,7 +204,8 @@
 }
 
 // startDueProbes starts the probes that are due, so that recovery is noticed without traffic from callers. It keeps up the sample of each
-// partitioned failure domain, as upstreams in it may end.
+// partitioned failure domain, as upstreams in it may end. Upstreams that are gone from the registry are probed as long as they have flows: their
+// flows are reset only if the upstreams do not answer.
 func (e *Engine) startDueProbes(now model.Instant) {
 	for _, id := range slices.Sorted(maps.Keys(e.domains)) {
 		if e.domains[id].Partitioned() {
@@ -210,6 +215,11 @@
 	for _, u := range e.roster.All() {
 		e.startProbe(now, u)
 	}
+	for _, u := range e.roster.Gone() {
+		if u.Load.Flows > 0 {
+			e.startProbe(now, u)
+		}
+	}
 }
 
 func (e *Engine) domainTracker(id model.DomainID) *health.DomainTracker {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -165,6 +165,11 @@
 	return r.tags[tagKey{service: service, tag: tag}]
 }
 
+// Gone returns the runs in StateGone whose tags are still known, oldest first. The caller must not modify the slice.
+func (r *Roster) Gone() []*Upstream {
+	return r.ended
+}
+
 // Get returns the current upstream with the ID, or nil.
 func (r *Roster) Get(id model.UpstreamID) *Upstream {
 	return r.current[id]
@@ -254,6 +259,7 @@
 		return
 	}
 	if u != nil && (u.Boot != reg.Boot || u.Service != reg.Service || u.Address != reg.Address) {
+		u.replaced = true
 		r.markGone(now, u)
 		u = nil
 	}
@@ -344,8 +350,10 @@
 	}
 }
 
+// markGone gives up an upstream. Unless its end is certain, it becomes suspect, so that it is probed.
 func (r *Roster) markGone(now model.Instant, u *Upstream) {
 	r.setState(now, u, StateGone)
+	u.Health.MarkSuspect(now)
 	delete(r.current, u.ID)
 	if r.addresses[u.Address] == u {
 		delete(r.addresses, u.Address)
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -22,7 +22,7 @@
 	StateMissing
 	// StateUnreadable means that the registration cannot be decoded: open flows continue, new ones go to other upstreams.
 	StateUnreadable
-	// StateGone means that this run of the upstream has definitely ended.
+	// StateGone means that this run of the upstream gets no new flows any more. Ended says whether its open flows have ended.
 	StateGone
 )
 
@@ -53,8 +53,8 @@
 	// Load is the load that this instance puts on the upstream.
 	Load   place.Load
 	Health health.Tracker
-	// superseded is true once a later run uses the address.
-	superseded bool
+	// superseded is true once a later run uses the address, and replaced once there is a later run under the ID.
+	superseded, replaced bool
 	// serviceIndex and allIndex are the positions in Roster.services and Roster.all while the run is current.
 	serviceIndex, allIndex int
 }
@@ -64,6 +64,17 @@
 	return now < u.ColdUntil
 }
 
+// Replaced reports whether a later run has taken the ID or the address, so that this run has ended for certain.
+func (u *Upstream) Replaced() bool {
+	return u.superseded || u.replaced
+}
+
+// Ended reports whether the run has ended, with all its flows: it was replaced, or it is gone from the registry and does not answer probes at
+// present. A registration that is gone proves nothing by itself: it also expires if the store loses the upstream's writes.
+func (u *Upstream) Ended(now model.Instant) bool {
+	return u.State == StateGone && (u.Replaced() || u.Health.ConfirmedUnreachable(now))
+}
+
 // written returns the state of the store in which the registration was last written.
 func (u *Upstream) written() model.Position {
 	return model.Position{Era: u.Era, Revision: u.Revision}
