Soak: restore the store from copies that are some seconds old

Change: the fake store restores a backup and writes again what operators and upstreams had written since; the soak does so at random times beside the other faults, with draws of its own, so that the faults of a seed stay those that they were.

--- a/internal/proof/soak/injector_test.go
+++ b/internal/proof/soak/injector_test.go
@@ -17,7 +17,9 @@
 type injector struct {
 	*run
 	rng *rand.Rand
-	wg  sync.WaitGroup
+	// restoreRNG draws the restores of the store; only injectRestores uses it.
+	restoreRNG *rand.Rand
+	wg         sync.WaitGroup
 	// faultCount is the number of faults started.
 	faultCount int
 	// processLocks prevents two faults from stopping and starting the same process concurrently.
@@ -37,9 +39,9 @@
 	routesAdded int
 }
 
-func newInjector(r *run, rng *rand.Rand) *injector {
+func newInjector(r *run, rng, restoreRNG *rand.Rand) *injector {
 	inj := &injector{
-		run: r, rng: rng, processLocks: map[*stage.Process]*sync.Mutex{}, reserved: map[*stand.Upstream]bool{}, held: map[string]int{},
+		run: r, rng: rng, restoreRNG: restoreRNG, processLocks: map[*stage.Process]*sync.Mutex{}, reserved: map[*stand.Upstream]bool{}, held: map[string]int{},
 		lastUpstream: uint64(len(services)), version: 1,
 	}
 	for _, p := range r.Processes {
@@ -97,11 +99,13 @@
 	"drain and kill": (*injector).drainAndKill,
 }
 
-// injectFaults starts faults, which may overlap, for the given time and waits until all are over.
+// injectFaults starts faults, which may overlap, for the given time and waits until all are over. Restores of the store have draws of their own, so
+// that the other faults of a seed are those that it had before there were restores.
 func (inj *injector) injectFaults(length time.Duration) {
+	inj.wg.Go(func() { inj.injectRestores(length) })
 	names := slices.Sorted(maps.Keys(faults))
 	for end := time.Now().Add(length); time.Now().Before(end); {
-		name, d := names[inj.rng.IntN(len(names))], inj.nextDraw()
+		name, d := names[inj.rng.IntN(len(names))], nextDraw(inj.rng)
 		pause := time.Duration(inj.rng.ExpFloat64() * float64(meanFaultInterval))
 		inj.faultCount++
 		inj.wg.Go(func() {
@@ -115,12 +119,24 @@
 	inj.logEvent("all faults ended")
 }
 
+// injectRestores restores the store from older copies, one after the other, for the given time.
+func (inj *injector) injectRestores(length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(time.Duration(inj.restoreRNG.ExpFloat64() * float64(meanRestoreInterval)))
+		if time.Now().Before(end) {
+			inj.logEvent("fault restore started")
+			inj.restoreStore(nextDraw(inj.restoreRNG))
+			inj.logEvent("fault restore ended")
+		}
+	}
+}
+
 // nextDraw draws the parameters of the next fault; the order of the draws must stay, so that a seed keeps its faults.
-func (inj *injector) nextDraw() draw {
+func nextDraw(rng *rand.Rand) draw {
 	return draw{
-		process: inj.rng.IntN(1 << 20), other: inj.rng.IntN(1 << 20), upstream: inj.rng.IntN(1 << 20), domain: domains[inj.rng.IntN(len(domains))],
-		short: time.Duration(100+inj.rng.IntN(900)) * time.Millisecond, long: time.Duration(500+inj.rng.IntN(5500)) * time.Millisecond,
-		variant: inj.rng.IntN(2) == 0, choice: inj.rng.IntN(1 << 20),
+		process: rng.IntN(1 << 20), other: rng.IntN(1 << 20), upstream: rng.IntN(1 << 20), domain: domains[rng.IntN(len(domains))],
+		short: time.Duration(100+rng.IntN(900)) * time.Millisecond, long: time.Duration(500+rng.IntN(5500)) * time.Millisecond,
+		variant: rng.IntN(2) == 0, choice: rng.IntN(1 << 20),
 	}
 }
 
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -69,6 +69,8 @@
 	// meanFaultInterval is the mean of the exponential distribution from which the time between the starts of two faults is drawn; the time is
 	// capped at four times the mean.
 	meanFaultInterval = 500 * time.Millisecond
+	// meanRestoreInterval is the mean time between the end of a restore of the store and the start of the next.
+	meanRestoreInterval = 4 * time.Second
 	// firstSubnet is the lowest second byte of the loopback addresses that environments of this package use; other tests use lower values.
 	firstSubnet = 130
 )
@@ -174,7 +176,7 @@
 	})
 	var probing sync.WaitGroup
 	probing.Go(func() { r.probeRoutes(ctx, rand.New(rand.NewPCG(seed, 2))) })
-	r.injector = newInjector(r, rand.New(rand.NewPCG(seed, 1)))
+	r.injector = newInjector(r, rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 3)))
 	r.injector.injectFaults(length)
 	r.checkRecovery()
 	r.load.Stop()
--- a/internal/proof/soak/storefaults_test.go
+++ b/internal/proof/soak/storefaults_test.go
@@ -100,3 +100,19 @@
 	time.Sleep(d.short)
 	inj.Store.DropHistory()
 }
+
+// restoreStore makes the store unavailable, and then available again with a copy that is some seconds old. Operators and upstreams write again what it
+// lacks.
+func (inj *injector) restoreStore(d draw) {
+	backup := inj.Store.Backup()
+	time.Sleep(d.long)
+	end := inj.faultLog.begin(storeComponent)
+	endOutage := inj.holdStoreOutage(outages[d.choice%len(outages)])
+	time.Sleep(d.short)
+	lost := inj.Store.Restore(backup)
+	inj.logEvent("store restored from a copy that is %s old", d.long+d.short)
+	endOutage()
+	time.Sleep(reregistrationTime / 2)
+	inj.Store.WriteAgain(lost)
+	end()
+}
