Order the document and the keys by the era of the store before their version

What operators saw: after the store was restored from an older copy, an accepted change of the document was not in force at any instance until the store's revisions had passed the lost ones; a change that got the number of a lost one was never seen.

Cause: the version of an object is the revision of its last write, which a restore sets back and gives out again. The client resumed watches at the highest revision that it ever saw, and instances, the engine and calls between instances ordered documents and keys by that number alone. Class: an order between two states of the store by a number that is unique only within one history of it.

Change: documents, keys and objects carry the era beside the version (also between instances, in added fields; zero, from builds without eras, is taken for the receiver's era), and are ordered by era, then version. A watch resumes only from a state that the client itself has read, in the present era; after a failed watch, or a response of another era, it lists the objects. Order by era alone would take an accepted document back, as the copy holds an older one in the later era. So an object of another era is not activated if the active one is known to be an update of it: its list of operation IDs names it, or its newest key is of a later epoch. That list grows from 8 to 64 IDs (at most 2 kB), as it must cover the changes that a restore loses. Ruled out: comparing with the revision of the copy, which the store does not tell.

Not covered yet: the store keeps the older document, so an instance that starts then uses it; conditions of operators' writes; the version that the console compares.

--- a/internal/conf/keys/keys.go
+++ b/internal/conf/keys/keys.go
@@ -28,8 +28,8 @@
 	Secret []byte `json:"secret"`
 }
 
-// Parse parses the object's body; version becomes that of the keys.
-func Parse(version model.Version, body []byte) (k bind.Keys, err error) {
+// Parse parses the body of the object that was written at the given state of the store.
+func Parse(at model.Position, body []byte) (k bind.Keys, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrap(err, "keys: parse")
@@ -42,7 +42,7 @@
 	if len(object.Keys) == 0 || len(object.Keys) > maxKeys {
 		return k, eris.Errorf("object holds %d keys, but must hold one or two", len(object.Keys))
 	}
-	k.Version = version
+	k.Era, k.Version = at.Era, model.Version(at.Revision)
 	for _, w := range object.Keys {
 		key := bind.Key{Epoch: model.Epoch(w.Epoch)}
 		if copy(key.Secret[:], w.Secret) != len(key.Secret) || len(w.Secret) != len(key.Secret) {
--- a/internal/core/bind/bind.go
+++ b/internal/core/bind/bind.go
@@ -63,14 +63,27 @@
 
 // Keys holds the valid keys, newest first; at most two are valid at the same time.
 type Keys struct {
+	// Era is the era of the store in which Version was read.
+	Era     model.Era
 	Version model.Version
 	List    []Key
 }
 
+// At returns the state of the store in which the keys were written, as seen in their era.
+func (k Keys) At() model.Position {
+	return model.Position{Era: k.Era, Revision: model.Revision(k.Version)}
+}
+
+// DerivesFrom reports whether k came from other by rotation, by any number of steps. Each rotation raises the epoch of the newest key.
+func (k Keys) DerivesFrom(other Keys) bool {
+	return len(k.List) > 0 && len(other.List) > 0 && k.List[0].Epoch > other.List[0].Epoch
+}
+
 // Signer signs and verifies bindings. It is not safe for concurrent use.
 type Signer struct {
-	version model.Version
-	macs    []epochMAC
+	// at is where the keys in use were written; the zero value without keys.
+	at   model.Position
+	macs []epochMAC
 	// macBuffer and signedData are reused from call to call.
 	macBuffer [sha256.Size]byte
 	// signedData is the input of the MAC: the addresses and ports of caller and service, then the body of the binding.
@@ -84,10 +97,10 @@
 
 // SetKeys replaces the keys; keys that are not newer than those in use are ignored.
 func (s *Signer) SetKeys(keys Keys) {
-	if keys.Version <= s.version {
+	if keys.At().Compare(s.at) <= 0 {
 		return
 	}
-	s.version = keys.Version
+	s.at = keys.At()
 	s.macs = s.macs[:0]
 	for _, k := range keys.List {
 		s.macs = append(s.macs, epochMAC{epoch: k.Epoch, mac: hmac.New(sha256.New, k.Secret[:])})
--- a/internal/core/bind/bind_test.go
+++ b/internal/core/bind/bind_test.go
@@ -95,3 +95,35 @@
 		}
 	})
 }
+
+// TestKeysAfterRestore checks that keys written after a restore of the store replace those in use, although their version is lower, and that
+// keys from before it do not return.
+func TestKeysAfterRestore(t *testing.T) {
+	is := is.New(t)
+	lost, later := newKeys(9, 2), newKeys(5, 3)
+	lost.Era, later.Era = 1, 2
+	s := newSigner(lost)
+	s.SetKeys(later)
+	is.Equal(s.NewestEpoch(), model.Epoch(3))
+	s.SetKeys(lost)
+	is.Equal(s.NewestEpoch(), model.Epoch(3))
+}
+
+func TestKeysDeriveFrom(t *testing.T) {
+	cases := map[string]struct {
+		keys, other bind.Keys
+		want        bool
+	}{
+		"rotated":                 {keys: newKeys(1, 2, 1), other: newKeys(1, 1), want: true},
+		"rotated more than once":  {keys: newKeys(1, 4, 3), other: newKeys(1, 1), want: true},
+		"the same":                {keys: newKeys(1, 2, 1), other: newKeys(2, 2, 1)},
+		"an earlier state":        {keys: newKeys(2, 1), other: newKeys(1, 2, 1)},
+		"nothing to compare with": {keys: newKeys(2, 1)},
+		"no keys":                 {other: newKeys(1, 1)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(tc.keys.DerivesFrom(tc.other), tc.want)
+		})
+	}
+}
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -126,7 +126,7 @@
 
 // SetDocument applies a document; it reports false and changes nothing if the document is not newer than the current one.
 func (e *Engine) SetDocument(now model.Instant, doc *model.Document) bool {
-	if e.doc != nil && doc.Version <= e.doc.Version {
+	if e.doc != nil && doc.At().Compare(e.doc.At()) <= 0 {
 		return false
 	}
 	e.beginStep(now)
--- a/internal/core/model/document.go
+++ b/internal/core/model/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -18,8 +19,10 @@
 
 // Document is one accepted version of the operators' configuration.
 type Document struct {
-	// Version is the version of the object in the platform's store. The version in use on an instance never decreases.
+	// Version is the version of the object in the platform's store, in the era in which it was read. The version in use on an instance never
+	// decreases within an era.
 	Version Version
+	Era     Era
 	// Operation identifies the update that wrote this version.
 	Operation string
 	// Earlier identifies the preceding updates, newest first.
@@ -37,6 +40,16 @@
 	Services []Service
 }
 
+// At returns the state of the store in which the document was written, as seen in its era.
+func (d *Document) At() Position {
+	return Position{Era: d.Era, Revision: Revision(d.Version)}
+}
+
+// DerivesFrom reports whether d is known to be an update of other, by any number of steps.
+func (d *Document) DerivesFrom(other *Document) bool {
+	return other.Operation != "" && slices.Contains(d.Earlier, other.Operation)
+}
+
 // Timing holds the durations that all instances must agree on.
 type Timing struct {
 	// Detection is the upper bound on the time between the failure of an instance and its detection by the others.
--- a/internal/oper/change/change.go
+++ b/internal/oper/change/change.go
@@ -19,7 +19,9 @@
 
 const (
 	retryInterval = 300 * time.Millisecond
-	maxEarlierIDs = 8
+	// maxEarlierIDs bounds the list by which an instance recognises that the store, restored from an older copy, holds a document that the
+	// active one is an update of. It must exceed the changes made in the time that a restore may lose.
+	maxEarlierIDs = 64
 )
 
 // Errors of Read after which a new document can still be submitted.
@@ -33,16 +35,23 @@
 // Platform stores the document as a versioned object.
 type Platform interface {
 	Get(ctx context.Context, name string) (object.Object, error)
-	Put(ctx context.Context, name string, at model.Version, body []byte) (model.Version, error)
+	Put(ctx context.Context, name string, at model.Position, body []byte) (model.Position, error)
 }
 
 // StoredDocument is one version of the document, as text and as parsed content. The zero value means that no document exists.
 type StoredDocument struct {
+	// Era is the era of the store in which Version was read.
+	Era      model.Era
 	Version  model.Version
 	Text     []byte
 	Document *model.Document
 }
 
+// At returns the state of the store in which the document was written, as seen in its era.
+func (d StoredDocument) At() model.Position {
+	return model.Position{Era: d.Era, Revision: model.Revision(d.Version)}
+}
+
 // ConflictError means that another operator changed the document after the version that a change was based on.
 type ConflictError struct {
 	// Current is the stored document; its Document is nil if none is stored or if it does not parse.
@@ -81,10 +90,10 @@
 	}
 	doc, err := config.Parse(obj.Body)
 	if err != nil {
-		return StoredDocument{Version: obj.Version, Text: obj.Body}, ErrInvalidDocument
+		return StoredDocument{Era: obj.Era, Version: obj.Version, Text: obj.Body}, ErrInvalidDocument
 	}
-	doc.Version = obj.Version
-	return StoredDocument{Version: obj.Version, Text: obj.Body, Document: doc}, nil
+	doc.Era, doc.Version = obj.Era, obj.Version
+	return StoredDocument{Era: obj.Era, Version: obj.Version, Text: obj.Body, Document: doc}, nil
 }
 
 // Submit validates text and writes it as the successor of base, whose version is zero for the first document. It returns the new version,
@@ -98,7 +107,7 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "add operation ID and author")
 	}
-	return write(ctx, p, base.Version, body, id)
+	return write(ctx, p, base.At(), body, id)
 }
 
 // Check parses text and returns the document if it is a valid successor of base.
@@ -112,11 +121,11 @@
 
 // write repeats the conditional update until its outcome is known. A failed Put may have taken effect although its response was lost, so the
 // document is read back and its operation IDs are compared with id.
-func write(ctx context.Context, p Platform, at model.Version, body []byte, id string) (model.Version, error) {
+func write(ctx context.Context, p Platform, at model.Position, body []byte, id string) (model.Version, error) {
 	for {
-		v, err := p.Put(ctx, config.ObjectName, at, body)
+		written, err := p.Put(ctx, config.ObjectName, at, body)
 		if err == nil {
-			return v, nil
+			return model.Version(written.Revision), nil
 		}
 		if errors.Is(err, object.ErrRejected) {
 			return 0, err
@@ -127,7 +136,7 @@
 			return current.Version, nil
 		case readErr == nil && slices.Contains(current.Document.Earlier, id):
 			return current.Version, nil
-		case readErr == nil && current.Version != at:
+		case readErr == nil && current.At() != at:
 			return 0, &ConflictError{Current: current}
 		}
 		select {
--- a/internal/oper/change/change_test.go
+++ b/internal/oper/change/change_test.go
@@ -37,22 +37,22 @@
 }
 
 // Put implements change.Platform.
-func (f *fakePlatform) Put(_ context.Context, _ string, at model.Version, body []byte) (model.Version, error) {
+func (f *fakePlatform) Put(_ context.Context, _ string, at model.Position, body []byte) (model.Position, error) {
 	if f.rejects {
-		return 0, object.ErrRejected
+		return at, object.ErrRejected
 	}
 	if f.failingWrites > 0 {
 		f.failingWrites--
-		return 0, errLost
+		return at, errLost
 	}
-	if at != f.obj.Version {
-		return 0, object.ErrConflict
+	if at != f.obj.At() {
+		return at, object.ErrConflict
 	}
-	f.obj = object.Object{Version: at + 1, Body: body}
+	f.obj.Version, f.obj.Body = f.obj.Version+1, body
 	if f.losesResponse != nil && f.losesResponse() {
-		return 0, errLost
+		return at, errLost
 	}
-	return f.obj.Version, nil
+	return f.obj.At(), nil
 }
 
 func newFakePlatform(t *testing.T) (*fakePlatform, change.StoredDocument) {
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -46,10 +46,10 @@
 // Host is the instance that a Mesh belongs to. The Mesh calls it without holding the lock on the membership list, so that its methods may use
 // the Mesh.
 type Host interface {
-	// Object returns the active version of an object and its body; the version is zero if there is none.
-	Object(kind Kind) (model.Version, []byte)
+	// Object returns where the active state of an object was written, and its body; the position is zero if there is none.
+	Object(kind Kind) (model.Position, []byte)
 	// Offer receives an object that is active at a peer.
-	Offer(kind Kind, version model.Version, body []byte)
+	Offer(kind Kind, at model.Position, body []byte)
 	// ApplyPeerUpdate receives a peer's observations of upstreams.
 	ApplyPeerUpdate(u engine.PeerUpdate)
 	// Loads returns the utilisation of this instance's slots, by service.
--- a/internal/peer/mesh/probe.go
+++ b/internal/peer/mesh/probe.go
@@ -69,7 +69,8 @@
 
 // ping probes an instance and exchanges membership updates, loads and object versions with it.
 func (m *Mesh) ping(ctx context.Context, target model.Member) error {
-	args := PingArgs{Versions: m.versions(), Loads: loadsToWire(m.cfg.Host.Loads())}
+	args := PingArgs{Loads: loadsToWire(m.cfg.Host.Loads())}
+	args.Versions, args.Eras = m.versions()
 	m.mu.Lock()
 	args.From, args.News = toWire(m.list.Self()), toWireAll(m.list.NextUpdates(updatesPerCall))
 	timeout := m.list.ProbeTimeout()
@@ -83,7 +84,7 @@
 	m.mu.Unlock()
 	m.notifyHost()
 	m.cfg.Host.SetPeerLoads(target.ID, loadsFromWire(reply.Loads))
-	m.requestNewer(target, reply.Versions)
+	m.requestNewer(target, reply.Versions, reply.Eras)
 	return nil
 }
 
--- a/internal/peer/mesh/pull.go
+++ b/internal/peer/mesh/pull.go
@@ -17,20 +17,20 @@
 	m.pushRequests.Offer(struct{}{})
 }
 
-// versions returns the versions of the active objects, by kind.
-func (m *Mesh) versions() (v [kindCount]uint64) {
+// versions returns the versions of the active objects and their eras, by kind.
+func (m *Mesh) versions() (v, eras [kindCount]uint64) {
 	for kind := range kindCount {
-		version, _ := m.cfg.Host.Object(kind)
-		v[kind] = uint64(version)
+		at, _ := m.cfg.Host.Object(kind)
+		v[kind], eras[kind] = uint64(at.Revision), uint64(at.Era)
 	}
-	return v
+	return v, eras
 }
 
-// requestNewer queues a pull for each object that a peer has at a higher version.
-func (m *Mesh) requestNewer(from model.Member, versions [kindCount]uint64) {
+// requestNewer queues a pull for each object that a peer has in a later state.
+func (m *Mesh) requestNewer(from model.Member, versions, eras [kindCount]uint64) {
 	for kind := range kindCount {
 		have, _ := m.cfg.Host.Object(kind)
-		if versions[kind] > uint64(have) && !m.pullRequests.Offer(pullRequest{kind: kind, from: from}) {
+		if position(versions[kind], eras[kind], have).Compare(have) > 0 && !m.pullRequests.Offer(pullRequest{kind: kind, from: from}) {
 			m.cfg.Counts.Counter("mesh.pull_ring_full").Inc(1)
 		}
 	}
@@ -51,13 +51,13 @@
 func (m *Mesh) pull(ctx context.Context, p pullRequest) {
 	have, _ := m.cfg.Host.Object(p.kind)
 	var reply PullReply
-	args := PullArgs{Kind: uint8(p.kind), Above: uint64(have)}
+	args := PullArgs{Kind: uint8(p.kind), Above: uint64(have.Revision), AboveEra: uint64(have.Era)}
 	if err := m.links.Call(ctx, p.from.Control, serviceName+".Pull", args, &reply, callTimeout); err != nil {
 		m.cfg.Counts.Counter("mesh.pull_failed").Inc(1)
 		return
 	}
-	if reply.Version > uint64(have) {
-		m.cfg.Host.Offer(p.kind, model.Version(reply.Version), reply.Body)
+	if reply.Version != 0 {
+		m.cfg.Host.Offer(p.kind, position(reply.Version, reply.Era, have), reply.Body)
 	}
 }
 
--- a/internal/peer/mesh/serve.go
+++ b/internal/peer/mesh/serve.go
@@ -38,11 +38,12 @@
 	m.list.Merge(m.now(), fromWireAll(args.News))
 	reply.News = toWireAll(append(m.list.NextUpdates(updatesPerCall), m.selfAndSender(args.From)...))
 	m.mu.Unlock()
-	reply.Versions, reply.Loads = m.versions(), loadsToWire(m.cfg.Host.Loads())
+	reply.Versions, reply.Eras = m.versions()
+	reply.Loads = loadsToWire(m.cfg.Host.Loads())
 	m.cfg.Host.SetPeerLoads(model.InstanceID(args.From.ID), loadsFromWire(args.Loads))
 	m.notifyHost()
 	for _, peer := range from {
-		m.requestNewer(peer, args.Versions)
+		m.requestNewer(peer, args.Versions, args.Eras)
 	}
 	return nil
 }
@@ -66,14 +67,14 @@
 	return nil
 }
 
-// Pull returns an object if its version here is above the caller's.
+// Pull returns an object if it was written after the caller's.
 func (c *calls) Pull(args PullArgs, reply *PullReply) error {
 	if Kind(args.Kind) >= kindCount {
 		return errUnknownKind
 	}
-	version, body := c.m.cfg.Host.Object(Kind(args.Kind))
-	if uint64(version) > args.Above {
-		reply.Version, reply.Body = uint64(version), body
+	at, body := c.m.cfg.Host.Object(Kind(args.Kind))
+	if at.Compare(position(args.Above, args.AboveEra, at)) > 0 {
+		reply.Version, reply.Era, reply.Body = uint64(at.Revision), uint64(at.Era), body
 	}
 	return nil
 }
--- a/internal/peer/mesh/wire.go
+++ b/internal/peer/mesh/wire.go
@@ -23,8 +23,10 @@
 	From Member
 	// News holds membership updates about any instance.
 	News []Member
-	// Versions holds the versions of the sender's active objects, by kind.
+	// Versions and Eras hold the versions of the sender's active objects, by kind, and the eras that these are of. Builds that know no eras send
+	// zeros.
 	Versions [kindCount]uint64
+	Eras     [kindCount]uint64
 	// Loads holds the utilisation of the sender's slots.
 	Loads []Load
 }
@@ -40,6 +42,7 @@
 type PingReply struct {
 	News     []Member
 	Versions [kindCount]uint64
+	Eras     [kindCount]uint64
 	Loads    []Load
 }
 
@@ -53,15 +56,17 @@
 	Answered bool
 }
 
-// PullArgs requests the object of a kind if its version is higher than Above.
+// PullArgs requests the object of a kind if it was written after the version Above of the era AboveEra.
 type PullArgs struct {
-	Kind  uint8
-	Above uint64
+	Kind     uint8
+	Above    uint64
+	AboveEra uint64
 }
 
-// PullReply is the requested object; Version is zero if there is no higher version.
+// PullReply is the requested object; Version is zero if there is no later state.
 type PullReply struct {
 	Version uint64
+	Era     uint64
 	Body    []byte
 }
 
@@ -143,6 +148,15 @@
 	return out
 }
 
+// position converts the version and era of a peer's object. A peer whose build knows no eras sends zero; its version is taken to be of the era of
+// this instance's object.
+func position(version, era uint64, own model.Position) model.Position {
+	if era == 0 {
+		return model.Position{Era: own.Era, Revision: model.Revision(version)}
+	}
+	return model.Position{Era: model.Era(era), Revision: model.Revision(version)}
+}
+
 func peerUpdateToWire(u engine.PeerUpdate) TellArgs {
 	var args TellArgs
 	for _, o := range u.Observations {
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -46,10 +46,17 @@
 
 // Object is the content of a stored object at one version.
 type Object struct {
+	// Era is the era of the store in which the object was read; versions of different eras say nothing about which is newer.
+	Era     model.Era
 	Version model.Version
 	Body    []byte
 }
 
+// At returns the state of the store in which the object was last written, as seen in the era.
+func (o Object) At() model.Position {
+	return model.Position{Era: o.Era, Revision: model.Revision(o.Version)}
+}
+
 // Instance is one entry of the platform's list of instances, which may be out of date.
 type Instance struct {
 	ID      model.InstanceID
@@ -65,14 +72,17 @@
 	addrErr error
 
 	mu sync.Mutex
-	// positions maps the name of each object to the store revision at which its next watch resumes. Guarded by mu.
-	positions map[string]model.Revision
+	// positions maps the name of each object to the state of the store at which its next watch resumes. It has no entry after a failed watch, as
+	// the store may have been restored meanwhile. Guarded by mu.
+	positions map[string]model.Position
+	// era is the highest era in a response so far. Guarded by mu.
+	era model.Era
 }
 
 // NewClient returns a client of the store at the base URL, whose host must be an IP address and a port. Calls use local as their source
 // address if it is valid. An invalid URL is reported by the calls.
 func NewClient(base string, local netip.Addr) *Client {
-	c := &Client{positions: map[string]model.Revision{}}
+	c := &Client{positions: map[string]model.Position{}}
 	u, err := url.Parse(base)
 	if err != nil {
 		c.addrErr = err
@@ -99,40 +109,52 @@
 	if err != nil {
 		return Object{}, err
 	}
+	c.noteEra(got.Era)
 	return decode(got)
 }
 
-// Watch waits up to WatchTimeout for a version above the given one. It returns ErrUnchanged if there is none.
-func (c *Client) Watch(ctx context.Context, name string, above model.Version) (obj Object, err error) {
+// Watch waits up to WatchTimeout for a state of the object after the given one. It returns ErrUnchanged if there is none.
+func (c *Client) Watch(ctx context.Context, name string, above model.Position) (obj Object, err error) {
 	defer annotate(&err, "watch object %s", name)
 	if c.addrErr != nil {
 		return Object{}, c.addrErr
 	}
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+callTimeout)
 	defer cancel()
-	after := max(c.position(name), model.Revision(above))
-	if after == 0 {
-		return c.reread(ctx, name, above)
+	after, ok := c.position(name)
+	if !ok {
+		obj, err = c.reread(ctx, name, above)
+		after, _ = c.position(name)
+		// Changes of other objects end a watch without a result as well.
+		if !errors.Is(err, ErrUnchanged) || after != above {
+			return obj, err
+		}
 	}
-	events, at, err := c.store.Watch(ctx, KindObjects, after, WatchTimeout)
-	if errors.Is(err, platform.ErrHistoryGone) {
+	events, at, err := c.store.Watch(ctx, KindObjects, after.Revision, WatchTimeout)
+	if errors.Is(err, platform.ErrHistoryGone) || err == nil && at.Era != after.Era {
 		return c.reread(ctx, name, above)
 	}
 	if err != nil {
+		c.forgetPosition(name)
 		return Object{}, err
 	}
-	c.setPosition(name, at.Revision)
+	c.setPosition(name, at)
+	return latest(events, name, above)
+}
+
+// latest returns the last state of the object in events if it is after the given one, and ErrUnchanged if there is none.
+func latest(events []platform.Event, name string, above model.Position) (Object, error) {
 	for i := len(events) - 1; i >= 0; i-- {
-		if events[i].Object.Name == name && !events[i].Deleted {
-			return decode(events[i].Object)
+		if e := events[i]; e.Object.Name == name && !e.Deleted && written(e.Object).Compare(above) > 0 {
+			return decode(e.Object)
 		}
 	}
 	return Object{}, ErrUnchanged
 }
 
-// reread lists the current objects. It replaces a watch if there is no position to resume from, or if the store has compacted the changes
-// since that position.
-func (c *Client) reread(ctx context.Context, name string, above model.Version) (Object, error) {
+// reread lists the current objects. It replaces a watch if there is no position to resume from, or if the store no longer holds the changes
+// since that position: it has compacted them, or it was restored from an older copy.
+func (c *Client) reread(ctx context.Context, name string, above model.Position) (Object, error) {
 	items, at, err := c.store.List(ctx, KindObjects)
 	if err != nil {
 		return Object{}, err
@@ -141,50 +163,74 @@
 		// A watch needs a revision to resume from; without one, the caller would repeat the list without a pause.
 		return Object{}, ErrNoRevision
 	}
-	c.setPosition(name, at.Revision)
+	c.setPosition(name, at)
 	for _, item := range items {
-		if item.Name == name && model.Version(item.Revision) > above {
+		if item.Name == name && written(item).Compare(above) > 0 {
 			return decode(item)
 		}
 	}
 	return Object{}, ErrUnchanged
 }
 
-func (c *Client) position(name string) model.Revision {
+// position returns the state at which the next watch resumes; ok is false if there is none, or if it is of an earlier era than the store's.
+func (c *Client) position(name string) (at model.Position, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok = c.positions[name]
+	return at, ok && at.Era >= c.era
+}
+
+func (c *Client) setPosition(name string, at model.Position) {
+	c.noteEra(at.Era)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.positions[name]
+	if at.Compare(c.positions[name]) > 0 {
+		c.positions[name] = at
+	}
 }
 
-func (c *Client) setPosition(name string, rev model.Revision) {
+func (c *Client) forgetPosition(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.positions[name] = max(c.positions[name], rev)
+	delete(c.positions, name)
 }
 
-// Put replaces an object that is still at the given version, or creates it if the version is zero. It returns the new version, or ErrConflict
-// if the object is at another version or exists already.
-func (c *Client) Put(ctx context.Context, name string, at model.Version, body []byte) (v model.Version, err error) {
+// noteEra records the era of a response.
+func (c *Client) noteEra(era model.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = max(c.era, era)
+}
+
+// Put replaces an object that is still at the given version of the given era, or creates it if the revision is zero. It returns where the
+// object was written, or ErrConflict if the object is at another version or exists already.
+func (c *Client) Put(ctx context.Context, name string, at model.Position, body []byte) (now model.Position, err error) {
 	defer annotate(&err, "write object %s", name)
 	if c.addrErr != nil {
-		return 0, c.addrErr
+		return model.Position{}, c.addrErr
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	spec, err := json.Marshal(string(body))
 	if err != nil {
-		return 0, err
+		return model.Position{}, err
 	}
 	var obj platform.Object
-	if at == 0 {
+	if at.Revision == 0 {
 		obj, err = c.store.Create(ctx, KindObjects, name, spec)
 	} else {
-		obj, err = c.store.Replace(ctx, KindObjects, name, model.Revision(at), spec)
+		obj, err = c.store.Replace(ctx, KindObjects, name, at.Revision, spec)
 	}
 	if err != nil {
-		return 0, err
+		return model.Position{}, err
 	}
-	return model.Version(obj.Revision), nil
+	c.noteEra(obj.Era)
+	return written(obj), nil
+}
+
+// written returns the state of the store in which an object was last written.
+func written(obj platform.Object) model.Position {
+	return model.Position{Era: obj.Era, Revision: obj.Revision}
 }
 
 // decode converts a stored object, whose spec is its body as one JSON string.
@@ -193,7 +239,7 @@
 	if err := json.Unmarshal(obj.Spec, &body); err != nil {
 		return Object{}, eris.Wrap(err, "object spec is not a JSON string")
 	}
-	return Object{Version: model.Version(obj.Revision), Body: []byte(body)}, nil
+	return Object{Era: obj.Era, Version: model.Version(obj.Revision), Body: []byte(body)}, nil
 }
 
 // annotate wraps *err, if it is not nil, with the formatted message; it is meant to be deferred.
--- a/internal/plat/object/revision_test.go
+++ b/internal/plat/object/revision_test.go
@@ -21,6 +21,6 @@
 		_, _ = w.Write([]byte(`{"items": []}`))
 	}))
 	defer srv.Close()
-	_, err := object.NewClient(srv.URL, netip.Addr{}).Watch(context.Background(), "document", 0)
+	_, err := object.NewClient(srv.URL, netip.Addr{}).Watch(context.Background(), "document", none)
 	is.True(err != nil && !errors.Is(err, object.ErrUnchanged))
 }
--- a/internal/proof/whole/document_test.go
+++ b/internal/proof/whole/document_test.go
@@ -195,7 +195,7 @@
 		is := is.New(t)
 		good, err := change.Read(ctx, client)
 		is.NoErr(err)
-		broken, err := client.Put(ctx, config.ObjectName, good.Version, []byte("{broken"))
+		broken, err := client.Put(ctx, config.ObjectName, good.At(), []byte("{broken"))
 		is.NoErr(err)
 		time.Sleep(2 * time.Second)
 		for _, in := range s.Instances {
@@ -203,7 +203,7 @@
 			is.NoErr(err)
 			is.Equal(report.Document, uint64(good.Version))
 		}
-		v, err := change.Submit(ctx, client, change.StoredDocument{Version: broken}, good.Text, "operator")
+		v, err := change.Submit(ctx, client, change.StoredDocument{Era: broken.Era, Version: model.Version(broken.Revision)}, good.Text, "operator")
 		is.NoErr(err)
 		s.awaitVersion(v, shortLimit)
 	})
--- a/internal/run/entry/entry_test.go
+++ b/internal/run/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"hawthorncourse/internal/base/ring"
 	"hawthorncourse/internal/conf/keys"
 	"hawthorncourse/internal/core/bind"
+	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/peer/mesh"
 	"hawthorncourse/internal/wire/frame"
 )
@@ -62,7 +63,7 @@
 	e.commands.Offer(nil)
 	body, err := keys.Rotate(bind.Keys{}, 1)
 	is.NoErr(err)
-	go e.Offer(mesh.KindKeys, 3, body)
+	go e.Offer(mesh.KindKeys, model.Position{Revision: 3}, body)
 	time.Sleep(50 * time.Millisecond)
 	read := make(chan struct{})
 	go func() {
--- a/internal/run/entry/objects.go
+++ b/internal/run/entry/objects.go
@@ -35,7 +35,7 @@
 	mesh.KindKeys:     keys.ObjectName,
 }
 
-// activeObject is the version of an object that this instance uses.
+// activeObject is the state of an object that this instance uses.
 type activeObject struct {
 	// installMu serialises installations. It may be held while the queue of the decision loop is full, so readers of the object do not take it.
 	installMu sync.Mutex
@@ -43,56 +43,83 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu and written only while installMu is held as well.
 
-	// version never decreases; zero means that there is no object yet.
-	version model.Version
+	// at is where the object was written; it never goes back. The zero value means that there is no object yet.
+	at      model.Position
 	body    []byte
+	content content
+}
+
+// content is the content of a replicated object; only the field of its kind is set.
+type content struct {
+	doc  *model.Document
+	keys bind.Keys
+}
+
+// parse parses the body of an object that was written at the given state of the store.
+func parse(kind mesh.Kind, at model.Position, body []byte) (c content, err error) {
+	if kind == mesh.KindKeys {
+		c.keys, err = keys.Parse(at, body)
+		return c, err
+	}
+	if c.doc, err = config.Parse(body); err != nil {
+		return c, err
+	}
+	c.doc.Era, c.doc.Version = at.Era, model.Version(at.Revision)
+	return c, nil
+}
+
+// derivesFrom reports whether c is known to be an update of other, by any number of steps.
+func (c content) derivesFrom(other content) bool {
+	if c.doc != nil && other.doc != nil {
+		return c.doc.DerivesFrom(other.doc)
+	}
+	return c.keys.DerivesFrom(other.keys)
 }
 
 // Object implements mesh.Host.
-func (e *Entry) Object(kind mesh.Kind) (model.Version, []byte) {
+func (e *Entry) Object(kind mesh.Kind) (model.Position, []byte) {
 	o := &e.objects[kind]
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.version, o.body
+	return o.at, o.body
 }
 
-// Offer implements mesh.Host. It activates an object if its version is higher than the active one and it can be parsed.
-func (e *Entry) Offer(kind mesh.Kind, version model.Version, body []byte) {
+// Offer implements mesh.Host. It activates an object if it was written after the active one and can be parsed. A store that was restored from
+// an older copy may hold an object that the active one is an update of; that does not count as written later.
+func (e *Entry) Offer(kind mesh.Kind, at model.Position, body []byte) {
 	o := &e.objects[kind]
 	o.installMu.Lock()
 	defer o.installMu.Unlock()
-	if version <= o.version {
+	if at.Compare(o.at) <= 0 {
 		return
 	}
-	if err := e.install(kind, version, body); err != nil {
+	log := e.logger("objects").With("version", at.Revision).With("era", at.Era)
+	next, err := parse(kind, at, body)
+	if err != nil {
 		e.counts.Counter("objects.unreadable").Inc(1)
-		e.logger("objects").With("version", version).With("error", err).
+		log.With("error", err).
 			Error("A new version of the configuration document or of the binding keys cannot be parsed; the previous version stays active.")
 		return
 	}
+	if at.Era != o.at.Era && o.content.derivesFrom(next) {
+		e.counts.Counter("objects.reverted").Inc(1)
+		log.With("active", o.at.Revision).Info("The store was restored from a copy that holds an older configuration document or older binding keys; the active version stays.")
+		return
+	}
+	e.install(next)
 	o.mu.Lock()
-	o.version, o.body = version, body
+	o.at, o.body, o.content = at, body, next
 	o.mu.Unlock()
 	e.mesh.Push()
 }
 
-// install parses an object and passes it to the engine.
-func (e *Entry) install(kind mesh.Kind, version model.Version, body []byte) error {
-	if kind == mesh.KindKeys {
-		parsed, err := keys.Parse(version, body)
-		if err != nil {
-			return err
-		}
-		e.submit(func(model.Instant) { e.engine.SetKeys(parsed) })
-		return nil
-	}
-	doc, err := config.Parse(body)
-	if err != nil {
-		return err
+// install passes an object to the engine.
+func (e *Entry) install(c content) {
+	if c.doc != nil {
+		e.installDocument(c.doc)
+		return
 	}
-	doc.Version = version
-	e.installDocument(doc)
-	return nil
+	e.submit(func(model.Instant) { e.engine.SetKeys(c.keys) })
 }
 
 func (e *Entry) installDocument(doc *model.Document) {
@@ -104,7 +131,7 @@
 	e.keyEpoch.Store(uint32(doc.KeyEpoch))
 	e.mesh.SetDetection(doc.Timing.Detection)
 	e.submit(func(now model.Instant) { e.engine.SetDocument(now, doc) })
-	e.logger("objects").With("version", doc.Version).Info("A new configuration document is active.")
+	e.logger("objects").With("version", doc.Version).With("era", doc.Era).Info("A new configuration document is active.")
 }
 
 // watchDocument watches the operators' configuration document.
@@ -121,19 +148,22 @@
 // watch watches an object in the platform's store while this instance is one of its domain's watchers. The other instances get the object
 // from peers.
 func (e *Entry) watch(ctx context.Context, kind mesh.Kind) error {
-	// seen is the last version that the platform returned, including versions that could not be parsed.
-	var seen model.Version
+	// seen is the last state that the platform returned, including those that were not activated.
+	var seen model.Position
 	for ctx.Err() == nil {
 		if !e.isWatcher(kind) {
 			sleep(ctx, watchRetryInterval)
 			continue
 		}
 		have, _ := e.Object(kind)
-		obj, err := e.platform.Watch(ctx, objectNames[kind], max(have, seen))
+		if seen.Compare(have) > 0 {
+			have = seen
+		}
+		obj, err := e.platform.Watch(ctx, objectNames[kind], have)
 		switch {
 		case err == nil:
-			e.Offer(kind, obj.Version, obj.Body)
-			seen = obj.Version
+			e.Offer(kind, obj.At(), obj.Body)
+			seen = obj.At()
 		case errors.Is(err, object.ErrUnchanged):
 		default:
 			e.counts.Counter("platform.watch_failed").Inc(1)
@@ -151,7 +181,7 @@
 		for kind := range mesh.Kind(objectKinds) {
 			obj, err := e.platform.Get(ctx, objectNames[kind])
 			if err == nil {
-				e.Offer(kind, obj.Version, obj.Body)
+				e.Offer(kind, obj.At(), obj.Body)
 			}
 		}
 	}
@@ -185,12 +215,12 @@
 	if epoch == 0 {
 		return
 	}
-	version, body := e.Object(mesh.KindKeys)
+	at, body := e.Object(mesh.KindKeys)
 	var old bind.Keys
-	if version > 0 {
+	if at.Revision > 0 {
 		var err error
-		if old, err = keys.Parse(version, body); err != nil {
-			e.logger("keys").With("version", version).With("error", err).Error("The active binding keys cannot be parsed, so they are not rotated.")
+		if old, err = keys.Parse(at, body); err != nil {
+			e.logger("keys").With("version", at.Revision).With("error", err).Error("The active binding keys cannot be parsed, so they are not rotated.")
 			return
 		}
 		if old.List[0].Epoch >= epoch {
@@ -202,11 +232,11 @@
 		e.logger("keys").With("epoch", epoch).With("error", err).Error("A new binding key cannot be generated; the rotation is retried.")
 		return
 	}
-	newVersion, err := e.platform.Put(ctx, keys.ObjectName, version, rotated)
+	written, err := e.platform.Put(ctx, keys.ObjectName, at, rotated)
 	switch {
 	case err == nil:
 		e.logger("keys").With("epoch", epoch).Info("A new binding key was generated and stored.")
-		e.Offer(mesh.KindKeys, newVersion, rotated)
+		e.Offer(mesh.KindKeys, written, rotated)
 	case errors.Is(err, object.ErrConflict):
 		e.counts.Counter("keys.conflict").Inc(1)
 		e.refetch(ctx, mesh.KindKeys)
@@ -219,7 +249,7 @@
 func (e *Entry) refetch(ctx context.Context, kind mesh.Kind) {
 	obj, err := e.platform.Get(ctx, objectNames[kind])
 	if err == nil {
-		e.Offer(kind, obj.Version, obj.Body)
+		e.Offer(kind, obj.At(), obj.Body)
 	}
 }
 
