Write the document and the keys again to a store restored from an older copy

What operators saw: an accepted change of the document, lost by a restore of the store, stayed in force at the instances that had it, but an instance that started later used the older document, and the next change was made to the older document and took the lost one out of force everywhere. Keys that the copy lacked were never stored again, and each rotation failed.

Cause: only operators write the document, and only a new epoch makes instances write keys, so nobody repeats what a restore loses. Class: a state that is taken for stored for ever because it was acknowledged once.

Change: an instance that sees that the store, in a later era, lacks its active object, or holds one that the active object is an update of, writes the active object, on the condition that the store still holds what it saw. Watchers do so after a random time of 0.5 to 1.5 s, so that one of them writes before the others try; other holders after five rounds. A conflict reads the object again. Ruled out: writing without a condition, which could overwrite a change that an operator made to the copy; that change is accepted and wins over the lost ones, which it does not contain.

--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,7 +114,8 @@
 	return decode(got)
 }
 
-// Watch waits up to WatchTimeout for a state of the object after the given one. It returns ErrUnchanged if there is none.
+// Watch waits up to WatchTimeout for a state of the object after the given one. It returns ErrUnchanged if there is none. If the store was restored
+// from an older copy that lacks the object, the error is ErrNotFound, and the result holds the era.
 func (c *Client) Watch(ctx context.Context, name string, above model.Position) (obj Object, err error) {
 	defer annotate(&err, "watch object %s", name)
 	if c.addrErr != nil {
@@ -164,12 +166,14 @@
 		return Object{}, ErrNoRevision
 	}
 	c.setPosition(name, at)
-	for _, item := range items {
-		if item.Name == name && written(item).Compare(above) > 0 {
-			return decode(item)
-		}
-	}
-	return Object{}, ErrUnchanged
+	i := slices.IndexFunc(items, func(o platform.Object) bool { return o.Name == name })
+	switch {
+	case i < 0 && above.Revision != 0 && above.Era < at.Era:
+		return Object{Era: at.Era}, ErrNotFound
+	case i < 0 || written(items[i]).Compare(above) <= 0:
+		return Object{}, ErrUnchanged
+	}
+	return decode(items[i])
 }
 
 // position returns the state at which the next watch resumes; ok is false if there is none, or if it is of an earlier era than the store's.
--- a/internal/plat/object/restore_test.go
+++ b/internal/plat/object/restore_test.go
@@ -33,6 +33,14 @@
 			f.put(f.get(), "new")
 			f.Equal(f.watch(lost), "new")
 		},
+		"a watch reports that the copy lacks the object": func(f *fixture) {
+			backup := f.store.Backup()
+			lost := f.put(none, "one")
+			f.store.Restore(backup)
+			obj, err := f.client.Watch(f.ctx, "document", lost)
+			f.True(errors.Is(err, object.ErrNotFound))
+			f.Equal(obj.Era, lost.Era+1)
+		},
 		"a watch that was cut off returns a write, although the store's revision has passed the lost one": func(f *fixture) {
 			first := f.put(none, "one")
 			backup := f.store.Backup()
--- a/internal/proof/whole/restore_test.go
+++ b/internal/proof/whole/restore_test.go
@@ -53,6 +53,38 @@
 	}
 }
 
+// TestLostChange checks that accepted changes that a restore of the store loses stay in force, and that the store holds them again within seconds, so
+// that a later change is an update of them.
+func TestLostChange(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, fleet.Regie())
+	client := object.NewClient(s.PlatformURL(), netip.Addr{})
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	backup := s.Store.Backup()
+	s.awaitVersion(s.setLeaving("ruche-service-1", true), shortLimit)
+	lost, err := change.Read(ctx, client)
+	is.NoErr(err)
+	s.Store.Restore(backup)
+	deadline := time.Now().Add(shortLimit)
+	for {
+		stored, err := change.Read(ctx, client)
+		is.NoErr(err)
+		if stored.Document.Operation == lost.Document.Operation {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the store does not hold the lost change")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	v := s.setLeaving("ruche-service-2", true)
+	s.awaitExactly(v, shortLimit)
+	after, err := change.Read(ctx, client)
+	is.NoErr(err)
+	is.Equal(after.Document.Earlier[0], lost.Document.Operation)
+}
+
 // TestChangeAfterRestore checks that a change that is accepted after the store was restored from an older copy is in force at every instance within
 // seconds, although versions of lost changes are higher.
 func TestChangeAfterRestore(t *testing.T) {
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -189,6 +189,7 @@
 		e.watchDocument,
 		e.watchKeys,
 		e.resync,
+		e.rewrite,
 		e.seed,
 		e.pollHealth,
 		e.disseminate,
--- a/internal/run/entry/objects.go
+++ b/internal/run/entry/objects.go
@@ -27,6 +27,10 @@
 	resyncInterval = time.Minute
 	// rotateInterval is how often rotateKeys checks for a new key epoch.
 	rotateInterval = time.Second
+	// rewriteInterval is the mean time between two rounds of rewrite. It is random, so that one instance writes before the others try.
+	rewriteInterval = time.Second
+	// rewriteRounds is the number of rounds after which instances that are no watchers write a reverted object, too.
+	rewriteRounds = 5
 )
 
 // objectNames maps the replicated objects to their names in the platform's store.
@@ -47,6 +51,9 @@
 	at      model.Position
 	body    []byte
 	content content
+	// reverted is where the store, restored from an older copy, holds an earlier state of the object; its revision is zero if the store lacks the
+	// object. The zero value means that neither is known.
+	reverted model.Position
 }
 
 // content is the content of a replicated object; only the field of its kind is set.
@@ -103,16 +110,36 @@
 	}
 	if at.Era != o.at.Era && o.content.derivesFrom(next) {
 		e.counts.Counter("objects.reverted").Inc(1)
+		o.setReverted(at)
 		log.With("active", o.at.Revision).Info("The store was restored from a copy that holds an older configuration document or older binding keys; the active version stays.")
 		return
 	}
 	e.install(next)
 	o.mu.Lock()
 	o.at, o.body, o.content = at, body, next
+	if at.Compare(o.reverted) > 0 {
+		o.reverted = model.Position{}
+	}
 	o.mu.Unlock()
 	e.mesh.Push()
 }
 
+// setReverted records where the store holds an earlier state of the object. o.installMu must be held.
+func (o *activeObject) setReverted(at model.Position) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at.Compare(o.at) > 0 && at.Compare(o.reverted) > 0 {
+		o.reverted = at
+	}
+}
+
+// toRewrite returns the active object and where the store holds an earlier state of it; ok is false if the store is not known to.
+func (o *activeObject) toRewrite() (reverted model.Position, body []byte, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reverted, o.body, o.reverted != model.Position{}
+}
+
 // install passes an object to the engine.
 func (e *Entry) install(c content) {
 	if c.doc != nil {
@@ -164,6 +191,9 @@
 		case err == nil:
 			e.Offer(kind, obj.At(), obj.Body)
 			seen = obj.At()
+		case errors.Is(err, object.ErrNotFound):
+			e.setMissing(kind, obj.At())
+			sleep(ctx, watchRetryInterval)
 		case errors.Is(err, object.ErrUnchanged):
 		default:
 			e.counts.Counter("platform.watch_failed").Inc(1)
@@ -173,6 +203,55 @@
 	return nil
 }
 
+// setMissing records that the store, restored from an older copy, lacks an object.
+func (e *Entry) setMissing(kind mesh.Kind, at model.Position) {
+	o := &e.objects[kind]
+	o.installMu.Lock()
+	defer o.installMu.Unlock()
+	o.setReverted(at)
+}
+
+// rewrite writes active objects to the store if it was restored from a copy that lacks them or holds earlier states of them: nobody else would, and an
+// instance that starts, or an operator, would go on from the earlier state.
+func (e *Entry) rewrite(ctx context.Context) error {
+	var rounds [objectKinds]int
+	for ctx.Err() == nil {
+		sleep(ctx, rewriteInterval/2+rand.N(rewriteInterval))
+		for kind := range mesh.Kind(objectKinds) {
+			if _, _, ok := e.objects[kind].toRewrite(); !ok {
+				rounds[kind] = 0
+				continue
+			}
+			rounds[kind]++
+			if e.isWatcher(kind) || rounds[kind] > rewriteRounds {
+				e.rewriteOnce(ctx, kind)
+			}
+		}
+	}
+	return nil
+}
+
+func (e *Entry) rewriteOnce(ctx context.Context, kind mesh.Kind) {
+	reverted, body, ok := e.objects[kind].toRewrite()
+	if !ok {
+		return
+	}
+	written, err := e.platform.Put(ctx, objectNames[kind], reverted, body)
+	switch {
+	case err == nil:
+		e.counts.Counter("objects.rewritten").Inc(1)
+		e.logger("objects").With("object", objectNames[kind]).With("era", written.Era).With("replaced", reverted.Revision).With("version", written.Revision).
+			Info("The store was restored from an older copy; the active object was written to it again.")
+		e.Offer(kind, written, body)
+	case errors.Is(err, object.ErrConflict):
+		e.refetch(ctx, kind)
+	default:
+		e.counts.Counter("objects.rewrite_failed").Inc(1)
+		e.logger("objects").With("object", objectNames[kind]).With("error", err).
+			Info("The active object could not be written to the restored store; the write is repeated.")
+	}
+}
+
 // resync periodically reads all objects from the platform's store, in case an instance missed an update from its peers. Its interval is
 // random, so that instances do not read at the same time.
 func (e *Entry) resync(ctx context.Context) error {
--- a/internal/run/entry/restore_test.go
+++ b/internal/run/entry/restore_test.go
@@ -153,3 +153,86 @@
 	_, body := f.entry.Object(mesh.KindKeys)
 	f.Equal(string(body), string(second))
 }
+
+// TestRewrite checks that an instance writes its document again to a store that was restored from a copy that lacks it, but not over a change that was
+// accepted since.
+func TestRewrite(t *testing.T) {
+	cases := map[string]struct {
+		// existed is set if the copy holds an earlier document.
+		existed bool
+		// change is set if an operator changes that document after the restore.
+		change bool
+		// failures is the number of times that the store does not answer a write.
+		failures int
+	}{
+		"the copy holds an earlier document": {existed: true},
+		"the copy holds no document":         {},
+		"a response is lost":                 {existed: true, failures: 1},
+		"an operator changed the copy":       {existed: true, change: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newRestoreFixture(t)
+			var backup *stand.Backup
+			if !tc.existed {
+				backup = f.store.Backup()
+			}
+			first := f.submit(change.StoredDocument{})
+			if tc.existed {
+				backup = f.store.Backup()
+			}
+			want := f.submit(f.submit(first))
+			f.offer(want)
+			f.store.Restore(backup)
+			if tc.change {
+				f.offer(f.stored())
+				want = f.submit(f.stored())
+			}
+			f.store.DropResponses(tc.failures)
+			ctx, cancel := context.WithCancel(f.ctx)
+			defer cancel()
+			go func() { _ = f.entry.rewrite(ctx) }()
+			go func() { _ = f.entry.watchDocument(ctx) }()
+			f.awaitActive(want.Document.Operation, 2)
+			f.Equal(f.stored().Document.Operation, want.Document.Operation)
+		})
+	}
+}
+
+// TestRewriteKeys checks that binding keys that a restore of the store loses are written again as they were, so that bindings stay valid.
+func TestRewriteKeys(t *testing.T) {
+	f := newRestoreFixture(t)
+	backup := f.store.Backup()
+	body, err := keys.Rotate(bind.Keys{}, 1)
+	f.NoErr(err)
+	at, err := f.operator.Put(f.ctx, keys.ObjectName, model.Position{}, body)
+	f.NoErr(err)
+	f.entry.Offer(mesh.KindKeys, at, body)
+	f.entry.keyEpoch.Store(1)
+	f.store.Restore(backup)
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	go func() { _ = f.entry.rewrite(ctx) }()
+	go func() { _ = f.entry.watchKeys(ctx) }()
+	for at.Era == 1 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+		at, _ = f.entry.Object(mesh.KindKeys)
+	}
+	obj, err := f.operator.Get(f.ctx, keys.ObjectName)
+	f.NoErr(err)
+	f.Equal(obj.At(), at)
+	f.Equal(string(obj.Body), string(body))
+}
+
+// awaitActive waits until the instance's document is that of the operation, written in the era.
+func (f *restoreFixture) awaitActive(operation string, era model.Era) {
+	f.Helper()
+	for f.ctx.Err() == nil {
+		at, _ := f.entry.Object(mesh.KindDocument)
+		if at.Era == era && f.operation() == operation {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.Fail()
+}
