Check the era of the store in the conditions of writes

What operators saw: a change that was reviewed before a restore of the store from an older copy was accepted over another operator's change that had got the same version number; a submission during a restore ended with a conflict although the copy held the document that it was based on.

Cause: the condition of a write is the version alone, and a restore gives versions out again. Class: a state identified by a number that is unique only within one history of the store.

Change: a write on the condition of a version of an earlier era than the store is known to be in is a conflict, without a call. Submit goes on if the store holds the same operation as its base at another place. The console keeps the era beside the version that was reviewed (field baseEra; a form without it is compared as before). Ruled out: an era in the condition itself, which the store's calls do not have; so a restore between the last response and the write still counts by number.

--- a/internal/oper/change/change.go
+++ b/internal/oper/change/change.go
@@ -52,6 +52,16 @@
 	return model.Position{Era: d.Era, Revision: model.Revision(d.Version)}
 }
 
+// contains reports whether d was written by the operation or by one that followed it.
+func (d StoredDocument) contains(operation string) bool {
+	return d.Document.Operation == operation || slices.Contains(d.Document.Earlier, operation)
+}
+
+// sameAs reports whether d and other are known to be the same update, wherever it was written.
+func (d StoredDocument) sameAs(other StoredDocument) bool {
+	return d.Document != nil && other.Document != nil && d.Document.Operation != "" && d.Document.Operation == other.Document.Operation
+}
+
 // ConflictError means that another operator changed the document after the version that a change was based on.
 type ConflictError struct {
 	// Current is the stored document; its Document is nil if none is stored or if it does not parse.
@@ -107,7 +117,7 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "add operation ID and author")
 	}
-	return write(ctx, p, base.At(), body, id)
+	return write(ctx, p, base, body, id)
 }
 
 // Check parses text and returns the document if it is a valid successor of base.
@@ -120,8 +130,9 @@
 }
 
 // write repeats the conditional update until its outcome is known. A failed Put may have taken effect although its response was lost, so the
-// document is read back and its operation IDs are compared with id.
-func write(ctx context.Context, p Platform, at model.Position, body []byte, id string) (model.Version, error) {
+// document is read back and its operation IDs are compared with id. A store that was restored from an older copy may hold base in another era.
+func write(ctx context.Context, p Platform, base StoredDocument, body []byte, id string) (model.Version, error) {
+	at := base.At()
 	for {
 		written, err := p.Put(ctx, config.ObjectName, at, body)
 		if err == nil {
@@ -132,11 +143,12 @@
 		}
 		current, readErr := Read(ctx, p)
 		switch {
-		case readErr == nil && current.Document.Operation == id:
-			return current.Version, nil
-		case readErr == nil && slices.Contains(current.Document.Earlier, id):
+		case readErr != nil:
+		case current.contains(id):
 			return current.Version, nil
-		case readErr == nil && current.At() != at:
+		case current.sameAs(base):
+			at = current.At()
+		case current.At() != at:
 			return 0, &ConflictError{Current: current}
 		}
 		select {
--- a/internal/oper/change/change_test.go
+++ b/internal/oper/change/change_test.go
@@ -85,7 +85,13 @@
 		"response is lost":             {prepare: func(_ *testing.T, f *fakePlatform) { f.losesResponse = once() }, version: 2},
 		"first write fails":            {prepare: func(_ *testing.T, f *fakePlatform) { f.failingWrites = 1 }, version: 2},
 		"another operator wrote first": {prepare: func(t *testing.T, f *fakePlatform) { submit(t, f, "second") }, conflict: true},
-		"response is lost and another operator writes": {prepare: loseResponseThenConflict, version: 3},
+		"response is lost and another operator writes":       {prepare: loseResponseThenConflict, version: 3},
+		"the store was restored and holds the same document": {prepare: func(_ *testing.T, f *fakePlatform) { f.obj.Era++ }, version: 2},
+		"the store was restored and the version is that of another change": {prepare: func(t *testing.T, f *fakePlatform) {
+			at := f.obj.Version
+			submit(t, f, "a second operator")
+			f.obj.Era, f.obj.Version = f.obj.Era+1, at
+		}, conflict: true},
 		"write fails and another operator wrote first": {prepare: func(t *testing.T, f *fakePlatform) {
 			submit(t, f, "second")
 			f.failingWrites = 1
--- a/internal/oper/forms/forms_test.go
+++ b/internal/oper/forms/forms_test.go
@@ -28,15 +28,17 @@
 // testConsole is a console with a fake platform.
 type testConsole struct {
 	*is.I
+	store    *stand.Store
 	platform *object.Client
 	url      string
 }
 
 func newTestConsole(t *testing.T, admin ...string) *testConsole {
 	t.Helper()
-	store := httptest.NewServer(stand.NewStore().Handler())
-	t.Cleanup(store.Close)
-	c := &testConsole{I: is.New(t), platform: object.NewClient(store.URL, netip.Addr{})}
+	store := stand.NewStore()
+	storeServer := httptest.NewServer(store.Handler())
+	t.Cleanup(storeServer.Close)
+	c := &testConsole{I: is.New(t), store: store, platform: object.NewClient(storeServer.URL, netip.Addr{})}
 	text, err := os.ReadFile("testdata/document.jsonc")
 	c.NoErr(err)
 	_, err = change.Submit(context.Background(), c.platform, change.StoredDocument{}, text, "first")
@@ -67,6 +69,24 @@
 	return res.StatusCode, string(body)
 }
 
+// submit submits the active document again, with a new note.
+func (c *testConsole) submit(note string) {
+	c.Helper()
+	d, err := change.Read(context.Background(), c.platform)
+	c.NoErr(err)
+	text, err := change.SetUpstreamLeaving(d, "order-desk-2", true, note)
+	c.NoErr(err)
+	_, err = change.Submit(context.Background(), c.platform, d, text, note)
+	c.NoErr(err)
+}
+
+// hiddenValue returns the value of a hidden input of a page, or an empty string if the page has none of that name.
+func hiddenValue(page, name string) string {
+	_, rest, _ := strings.Cut(page, `<input type="hidden" name="`+name+`" value="`)
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
+
 func domainForm(out string) url.Values {
 	return url.Values{"kind": {"domain"}, "id": {"musanze"}, "region": {"rw-north"}, "out": {out}, "note": {"seed week"}, "base": {"2"}}
 }
@@ -111,6 +131,21 @@
 			c.True(strings.Contains(page, "wanjiru"))
 			c.True(strings.Contains(page, "kept input"))
 		},
+		"a change reviewed before a restore of the store is a conflict": func(c *testConsole) {
+			backup := c.store.Backup()
+			c.submit("lost")
+			_, page := c.do(http.MethodPost, "/review", domainForm("on"), token)
+			form := domainForm("on")
+			form.Set("confirm", "on")
+			for _, name := range []string{"base", "baseEra"} {
+				form.Set(name, hiddenValue(page, name))
+			}
+			c.store.Restore(backup)
+			c.submit("third")
+			code, page := c.do(http.MethodPost, "/send", form, token)
+			c.Equal(code, http.StatusConflict)
+			c.True(strings.Contains(page, "third"))
+		},
 		"service without upstreams needs confirmation": func(c *testConsole) {
 			form := url.Values{"kind": {"upstream"}, "service": {"field-claims"}, "id": {"field-claims-1"}, "remove": {"on"}, "base": {"2"}}
 			code, page := c.do(http.MethodPost, "/send", form, token)
--- a/internal/oper/forms/send.go
+++ b/internal/oper/forms/send.go
@@ -23,6 +23,7 @@
 type reviewPage struct {
 	Form        url.Values
 	Base        model.Version
+	BaseEra     model.Era
 	Differences []change.Difference
 	Effects     []change.Effect
 	// Grave is set if one of Effects needs an explicit confirmation.
@@ -65,7 +66,7 @@
 		page.Error = err.Error()
 		return page
 	}
-	page.Base = d.Version
+	page.Base, page.BaseEra = d.Version, d.Era
 	page.Differences = change.Diff(d.Document, next)
 	page.Effects = change.Effects(d.Document, next, c.fetchRollout(ctx, d.Version).streams)
 	for _, e := range page.Effects {
@@ -126,7 +127,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if strconv.FormatUint(uint64(d.Version), 10) != form.Get("base") {
+	if !isBase(d, form) {
 		return 0, &change.ConflictError{Current: d}
 	}
 	next, err := change.Check(d, text)
@@ -141,6 +142,12 @@
 	return change.Submit(ctx, c.cfg.Platform, d, text, author)
 }
 
+// isBase reports whether the document is the version that was reviewed. A form without an era was reviewed with a build that knows none.
+func isBase(d change.StoredDocument, form url.Values) bool {
+	era := strconv.FormatUint(uint64(d.Era), 10)
+	return strconv.FormatUint(uint64(d.Version), 10) == form.Get("base") && (!form.Has("baseEra") || form.Get("baseEra") == era)
+}
+
 // awaitRollout waits up to rolloutTimeout until every instance that answers uses version v or a later one, and returns the last status. It
 // returns early if ctx ends.
 func (c *Console) awaitRollout(ctx context.Context, v model.Version) rolloutStatus {
@@ -158,11 +165,11 @@
 	}
 }
 
-// changeFields returns the fields of a form that describe its change, without "base" and "confirm".
+// changeFields returns the fields of a form that describe its change, without "base", "baseEra" and "confirm".
 func changeFields(form url.Values) url.Values {
 	out := url.Values{}
 	for name, values := range form {
-		if name != "base" && name != "confirm" {
+		if name != "base" && name != "baseEra" && name != "confirm" {
 			out[name] = values
 		}
 	}
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -206,8 +206,16 @@
 	c.era = max(c.era, era)
 }
 
+// restoredSince reports whether the store is known to have been restored since the state.
+func (c *Client) restoredSince(at model.Position) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return at.Era < c.era
+}
+
 // Put replaces an object that is still at the given version of the given era, or creates it if the revision is zero. It returns where the
-// object was written, or ErrConflict if the object is at another version or exists already.
+// object was written, or ErrConflict if the object is at another version or exists already, or if the store is known to have been restored since that
+// era: the version may then be that of another write.
 func (c *Client) Put(ctx context.Context, name string, at model.Position, body []byte) (now model.Position, err error) {
 	defer annotate(&err, "write object %s", name)
 	if c.addrErr != nil {
@@ -220,9 +228,12 @@
 		return model.Position{}, err
 	}
 	var obj platform.Object
-	if at.Revision == 0 {
+	switch {
+	case at.Revision == 0:
 		obj, err = c.store.Create(ctx, KindObjects, name, spec)
-	} else {
+	case c.restoredSince(at):
+		return model.Position{}, ErrConflict
+	default:
 		obj, err = c.store.Replace(ctx, KindObjects, name, at.Revision, spec)
 	}
 	if err != nil {
--- a/internal/plat/object/restore_test.go
+++ b/internal/plat/object/restore_test.go
@@ -14,7 +14,7 @@
 	"hawthorncourse/platform/stand"
 )
 
-// TestRestore checks watches of objects after the store was restored from an older copy, which gives version numbers out again.
+// TestRestore checks reads and writes of objects after the store was restored from an older copy, which gives version numbers out again.
 func TestRestore(t *testing.T) {
 	cases := map[string]func(*fixture){
 		"a watch returns a write at a lower version than the lost one": func(f *fixture) {
@@ -57,6 +57,18 @@
 			}
 			f.Equal(f.watch(lost), "new")
 		},
+		"a write based on a lost version is a conflict, although another write has its number": func(f *fixture) {
+			first := f.put(none, "one")
+			backup := f.store.Backup()
+			lost := f.put(first, "two")
+			f.store.Restore(backup)
+			f.put(f.get(), "new")
+			_, err := f.client.Put(f.ctx, "document", lost, []byte("three"))
+			f.True(errors.Is(err, object.ErrConflict))
+			obj, err := f.client.Get(f.ctx, "document")
+			f.NoErr(err)
+			f.Equal(string(obj.Body), "new")
+		},
 	}
 	for name, check := range cases {
 		t.Run(name, func(t *testing.T) {
