Do not end a run because a restored copy of the store lists an earlier one

What callers may see: an open flow reset although its upstream serves (FLOW), if the upstream had started again under its ID in the time that a restore loses.

Cause: any registration with another boot under a known ID counted as a later run. Class: state that moves one way only, taken back by an older copy.

Change: a listing of a later era that has an earlier run is taken as one that lacks the upstream: its run is missing, and gone after the grace period if it does not register again. Within an era, nothing changes.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -92,8 +92,7 @@
 	r.hasUnreadable = len(list.Unreadable) > 0
 	listed := make(map[model.UpstreamID]bool, len(list.Items))
 	for i := range list.Items {
-		listed[list.Items[i].ID] = true
-		r.upsert(now, &list.Items[i], list.Era)
+		listed[list.Items[i].ID] = r.upsert(now, &list.Items[i], list.Era)
 	}
 	for _, name := range list.Unreadable {
 		listed[model.UpstreamID(name)] = true
@@ -252,21 +251,24 @@
 }
 
 // upsert applies a registration that was listed in an era. A new run under a known ID ends the previous run. Registrations older than the known
-// one are ignored.
-func (r *Roster) upsert(now model.Instant, reg *model.Registration, era model.Era) {
+// one are ignored. It reports whether the listing has the known run or a later one.
+func (r *Roster) upsert(now model.Instant, reg *model.Registration, era model.Era) (listed bool) {
 	u := r.current[reg.ID]
-	if u != nil && reg.Revision != 0 && (model.Position{Era: era, Revision: reg.Revision}).Compare(u.written()) < 0 {
-		return
-	}
-	if u != nil && (u.Boot != reg.Boot || u.Service != reg.Service || u.Address != reg.Address) {
+	switch {
+	case u == nil:
+	case u.writtenAfter(reg, era):
+		return true
+	case u.startedAfter(reg, era):
+		return false
+	case !u.isRun(reg):
 		u.replaced = true
 		r.markGone(now, u)
 		u = nil
 	}
-	draining := reg.Draining || r.hasDrained(u, reg)
+	draining := reg.Draining || r.hasDrained(reg)
 	if u == nil {
 		if u = r.insert(now, reg); u == nil {
-			return
+			return true
 		}
 	} else if reg.Revision != u.Revision {
 		// ColdFor counts from the write, which was received later, so the end of the cold start is overestimated, never underestimated.
@@ -279,19 +281,14 @@
 	u.Draining = draining
 	r.setState(now, u, StateListed)
 	r.supersede(now, u)
+	return true
 }
 
-// hasDrained reports whether the run that a registration names is known to drain or to have drained; u is the current run of that upstream, or nil.
-// A run that drains exits. A registration that says otherwise comes from a copy of the store from before, of which only an identified run can
-// be told apart from a new start.
-func (r *Roster) hasDrained(u *Upstream, reg *model.Registration) bool {
-	if reg.Boot == 0 {
-		return false
-	}
-	if u == nil {
-		u = r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
-	}
-	return u != nil && u.ID == reg.ID && u.Boot == reg.Boot && u.Draining
+// hasDrained reports whether the run that a registration names is known to drain or to have drained. A run that drains exits. A registration that
+// says otherwise comes from a copy of the store from before, of which only an identified run can be told apart from a new start.
+func (r *Roster) hasDrained(reg *model.Registration) bool {
+	u := r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
+	return u != nil && reg.Boot != 0 && u.ID == reg.ID && u.Boot == reg.Boot && u.Draining
 }
 
 // insert adds a new run of an upstream. It returns nil if the run is known to have been superseded at its address.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -206,6 +206,52 @@
 	}
 }
 
+// TestEarlierRunAfterRestore guards against flows that are reset because a copy of the store lists an earlier run of their upstream, which has started
+// again under its ID since.
+func TestEarlierRunAfterRestore(t *testing.T) {
+	restored := func(boot model.BootID, rev model.Revision) model.Listing[model.Registration] {
+		list := listing(registration(boot, rev))
+		list.Era = 1
+		return list
+	}
+	now := afterGrace
+	cases := map[string]struct {
+		steps func(*roster.Roster)
+		want  roster.State
+		boot  model.BootID
+	}{
+		"the copy lists the earlier run": {steps: func(*roster.Roster) {}, want: roster.StateMissing, boot: 4},
+		"the upstream registers again": {
+			steps: func(r *roster.Roster) { r.Sync(now.Add(time.Second), restored(4, 7)) }, want: roster.StateListed, boot: 4,
+		},
+		"the upstream starts once more": {
+			steps: func(r *roster.Roster) { r.Sync(now.Add(time.Second), restored(5, 7)) }, want: roster.StateListed, boot: 5,
+		},
+		"the upstream does not register again": {
+			steps: func(r *roster.Roster) {
+				later := now.Add(2 * roster.OutageGrace)
+				r.Confirm(later, later)
+				r.Sync(later, restored(3, 5))
+			},
+			want: roster.StateListed, boot: 3,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.Sync(0, listing(registration(4, 8)))
+			before := r.Get("a")
+			r.ExtendGrace(now.Add(roster.OutageGrace))
+			r.Sync(now, restored(3, 5))
+			is.True(!before.Replaced())
+			tc.steps(r)
+			is.Equal(r.Get("a").State, tc.want)
+			is.Equal(r.Get("a").Boot, tc.boot)
+		})
+	}
+}
+
 // TestDrainingIsFinal guards against new flows to an upstream that has announced its shutdown and that a copy of the store lists as it was before.
 func TestDrainingIsFinal(t *testing.T) {
 	draining := registration(3, 8)
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -64,6 +64,21 @@
 	return now < u.ColdUntil
 }
 
+// writtenAfter reports whether the registration was written after reg, which was listed in an era.
+func (u *Upstream) writtenAfter(reg *model.Registration, era model.Era) bool {
+	return reg.Revision != 0 && u.written().Compare(model.Position{Era: era, Revision: reg.Revision}) > 0
+}
+
+// startedAfter reports whether reg is of an earlier run, which a store that was restored from an older copy lists instead of this one.
+func (u *Upstream) startedAfter(reg *model.Registration, era model.Era) bool {
+	return era > u.Era && reg.Boot != 0 && reg.Boot < u.Boot
+}
+
+// isRun reports whether reg is the registration of this run.
+func (u *Upstream) isRun(reg *model.Registration) bool {
+	return u.Boot == reg.Boot && u.Service == reg.Service && u.Address == reg.Address
+}
+
 // Replaced reports whether a later run has taken the ID or the address, so that this run has ended for certain.
 func (u *Upstream) Replaced() bool {
 	return u.superseded || u.replaced
