Draw no conclusion from the revisions of two eras of the store in the roster

What callers may see after a restore of the store: flows of a serving upstream reset, as one that used its address before counts as written later (FLOW, with clocks that differ); a warm upstream that gets hardly any new flows, as the copy lists it in its cold start; a domain that stays out of service 2.5 s longer than asked. With an era that a peer reported wrongly and the store corrected: draining upstreams that stay in use.

Cause: the era in which a registration is listed was taken for that in which it was written.

Change: revisions are compared within one era only. The cold start of an identified run does not begin anew by a listing of another era. Only the domains that were out of service at the restore are retained.

Measured: TestRevisionsOfTwoEras failed in three of three cases and a new case of TestOutAfterRestore failed before, pass now.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -196,8 +196,11 @@
 // SetOut replaces the set of failure domains that operators have taken out of service, as listed in an era of the store. A domain that is out of
 // service stays so for OutageGrace if the first list of a new era lacks it: the store was restored from a copy from before it was taken out.
 func (r *Roster) SetOut(now model.Instant, domains []model.DomainID, era model.Era) {
-	if era != r.era && len(r.outSince) > 0 {
+	if era != r.era {
 		r.retainUntil = now.Add(OutageGrace)
+		for d := range r.outSince {
+			r.retainedOut[d] = true
+		}
 	}
 	r.era = era
 	out := make(map[model.DomainID]model.Instant, len(domains))
@@ -207,14 +210,13 @@
 			since = now
 		}
 		out[d] = since
+		delete(r.retainedOut, d)
 	}
-	clear(r.retainedOut)
-	if now < r.retainUntil {
-		for d, since := range r.outSince {
-			if _, listed := out[d]; !listed {
-				out[d], r.retainedOut[d] = since, true
-			}
-		}
+	if now >= r.retainUntil {
+		clear(r.retainedOut)
+	}
+	for d := range r.retainedOut {
+		out[d] = r.outSince[d]
 	}
 	r.outSince = out
 }
@@ -271,8 +273,7 @@
 			return true
 		}
 	} else if reg.Revision != u.Revision {
-		// ColdFor counts from the write, which was received later, so the end of the cold start is overestimated, never underestimated.
-		u.ColdUntil = now.Add(reg.ColdFor)
+		u.ColdUntil = u.coldUntil(now, reg, era)
 	}
 	if u.Draining != draining {
 		r.changes = append(r.changes, StateChange{Upstream: u, State: u.State})
@@ -308,7 +309,7 @@
 
 // supersede ends the earlier of two runs at the same address. The platform reuses an address only after its upstream has ended, but the
 // old registration may remain for seconds. Boot values come from the clocks of different machines, so a run counts as later only if its
-// registration was also written later.
+// registration was also written later, which the revisions of one era tell.
 func (r *Roster) supersede(now model.Instant, u *Upstream) {
 	other := r.addresses[u.Address]
 	r.addresses[u.Address] = u
@@ -320,7 +321,7 @@
 		later, earlier = other, u
 	}
 	r.addresses[u.Address] = later
-	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.written().Compare(later.written()) >= 0 {
+	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.Era != later.Era || earlier.Revision >= later.Revision {
 		return
 	}
 	earlier.superseded = true
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -252,6 +252,41 @@
 	}
 }
 
+// TestRevisionsOfTwoEras guards against conclusions from the revisions of registrations that were listed in different eras of the store.
+func TestRevisionsOfTwoEras(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	cases := map[string]struct {
+		first, then model.Listing[model.Registration]
+		check       func(*is.I, *roster.Roster, *roster.Upstream)
+	}{
+		"the copy lists an upstream that used the address before, with a faster clock": {
+			first: model.Listing[model.Registration]{Era: 1, Items: []model.Registration{{ID: "a", Boot: 200, Revision: 60, Service: "orders", Address: address}}},
+			then:  model.Listing[model.Registration]{Era: 2, Items: []model.Registration{{ID: "b", Boot: 300, Revision: 4, Service: "orders", Address: address}}},
+			check: func(is *is.I, _ *roster.Roster, u *roster.Upstream) { is.Equal(u.State, roster.StateMissing) },
+		},
+		"the store has corrected an era that a peer reported": {
+			first: model.Listing[model.Registration]{Era: 9, Items: []model.Registration{{ID: "a", Boot: 200, Revision: 4, Service: "orders"}}},
+			then:  model.Listing[model.Registration]{Era: 2, Items: []model.Registration{{ID: "a", Boot: 200, Revision: 9, Service: "orders", Draining: true}}},
+			check: func(is *is.I, _ *roster.Roster, u *roster.Upstream) { is.True(u.Draining) },
+		},
+		"the copy lists a warm upstream as it was in its cold start": {
+			first: model.Listing[model.Registration]{Era: 1, Items: []model.Registration{{ID: "a", Boot: 200, Revision: 60, Service: "orders"}}},
+			then:  model.Listing[model.Registration]{Era: 2, Items: []model.Registration{{ID: "a", Boot: 200, Revision: 4, Service: "orders", ColdFor: time.Minute}}},
+			check: func(is *is.I, _ *roster.Roster, u *roster.Upstream) { is.True(!u.Cold(afterGrace.Add(time.Second))) },
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.Sync(afterGrace, tc.first)
+			u := r.Get("a")
+			r.ExtendGrace(afterGrace.Add(roster.OutageGrace))
+			r.Sync(afterGrace.Add(time.Millisecond), tc.then)
+			tc.check(is.New(t), r, u)
+		})
+	}
+}
+
 // TestDrainingIsFinal guards against new flows to an upstream that has announced its shutdown and that a copy of the store lists as it was before.
 func TestDrainingIsFinal(t *testing.T) {
 	draining := registration(3, 8)
@@ -312,6 +347,14 @@
 			},
 		},
 		"not written again": {steps: func(r *roster.Roster) { r.Confirm(released, released) }},
+		"taken out and returned to service after the restore": {steps: func(r *roster.Roster) {
+			r.SetOut(restored.Add(time.Second), []model.DomainID{"west"}, 2)
+			r.SetOut(restored.Add(2*time.Second), nil, 2)
+			_, out := r.Out("west")
+			if out {
+				t.Error("a domain that was returned to service is out of service")
+			}
+		}, want: true},
 		"a list of the same era": {steps: func(r *roster.Roster) {
 			r.SetOut(released, []model.DomainID{"east"}, 2)
 			r.SetOut(released, nil, 2)
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -64,14 +64,14 @@
 	return now < u.ColdUntil
 }
 
-// writtenAfter reports whether the registration was written after reg, which was listed in an era.
+// writtenAfter reports whether the registration was written after reg, as far as revisions tell: reg has to be listed in the same era.
 func (u *Upstream) writtenAfter(reg *model.Registration, era model.Era) bool {
-	return reg.Revision != 0 && u.written().Compare(model.Position{Era: era, Revision: reg.Revision}) > 0
+	return era == u.Era && reg.Revision != 0 && reg.Revision < u.Revision
 }
 
 // startedAfter reports whether reg is of an earlier run, which a store that was restored from an older copy lists instead of this one.
 func (u *Upstream) startedAfter(reg *model.Registration, era model.Era) bool {
-	return era > u.Era && reg.Boot != 0 && reg.Boot < u.Boot
+	return era != u.Era && reg.Boot != 0 && reg.Boot < u.Boot
 }
 
 // isRun reports whether reg is the registration of this run.
@@ -90,9 +90,15 @@
 	return u.State == StateGone && (u.Replaced() || u.Health.ConfirmedUnreachable(now))
 }
 
-// written returns the state of the store in which the registration was last written.
-func (u *Upstream) written() model.Position {
-	return model.Position{Era: u.Era, Revision: u.Revision}
+// coldUntil returns the end of the cold start according to a registration of this run that was listed in an era. ColdFor counts from the write,
+// which was received later, so the end is overestimated, never underestimated. A listing of another era may be from before the present one, and an
+// identified run has one cold start only.
+func (u *Upstream) coldUntil(now model.Instant, reg *model.Registration, era model.Era) model.Instant {
+	until := now.Add(reg.ColdFor)
+	if era != u.Era && reg.Boot != 0 {
+		return min(until, u.ColdUntil)
+	}
+	return until
 }
 
 // routingTag derives the tag of a run of an upstream from its registration alone, so that all instances compute the same tag.
