Take up an upstream again whose registration reappears, and notice a later run after it was gone

What callers may see: more new flows on an upstream than its share, or on a cold one than its quota, when its registration was gone and reappears; flows of a run that ended wait for their deadline, since a later process at its address answers the probes.

Cause: a run that was listed again became a new upstream without the flows, the quota and the health of the earlier one; runs that are gone were not compared with later ones.

Change: the same run is taken up again; a run that is gone counts as replaced once a later one is listed under its ID or at its address.

Measured: TestReturnAfterAbsence and two of four cases of TestReplacedAfterAbsence failed before, pass now.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -269,7 +269,7 @@
 	}
 	draining := reg.Draining || r.hasDrained(reg)
 	if u == nil {
-		if u = r.insert(now, reg); u == nil {
+		if u = r.insert(now, reg, era); u == nil {
 			return true
 		}
 	} else if reg.Revision != u.Revision {
@@ -292,11 +292,22 @@
 	return u != nil && reg.Boot != 0 && u.ID == reg.ID && u.Boot == reg.Boot && u.Draining
 }
 
-// insert adds a new run of an upstream. It returns nil if the run is known to have been superseded at its address.
-func (r *Roster) insert(now model.Instant, reg *model.Registration) *Upstream {
+// insert adds a run of an upstream. A run that was gone from the registry and reappears keeps its load and its health. It returns nil if the run
+// is known to have been superseded at its address.
+func (r *Roster) insert(now model.Instant, reg *model.Registration, era model.Era) *Upstream {
 	u := &Upstream{Tag: routingTag(reg), Registration: *reg, ColdUntil: now.Add(reg.ColdFor)}
-	if old := r.tags[u.key()]; old != nil && old.superseded && old.ID == reg.ID && old.Boot == reg.Boot {
-		return nil
+	if old := r.tags[u.key()]; old != nil && old.ID == reg.ID && old.Boot == reg.Boot {
+		if old.superseded {
+			return nil
+		}
+		if !old.replaced {
+			r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
+			old.ColdUntil = old.coldUntil(now, reg, era)
+			u = old
+		}
+	}
+	for _, e := range r.ended {
+		e.replaced = e.replaced || e.replacedBy(reg, era)
 	}
 	r.current[reg.ID] = u
 	list := r.services[reg.Service]
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -287,6 +287,50 @@
 	}
 }
 
+// TestReturnAfterAbsence checks that a run whose registration was gone and reappears is the same upstream as before, with its load and its health.
+func TestReturnAfterAbsence(t *testing.T) {
+	is := is.New(t)
+	r := roster.New(roster.Config{TagRetention: time.Minute})
+	r.Sync(0, listing(registration(1, 4)))
+	u := r.Get("a")
+	u.Load.Flows = 3
+	r.Sync(afterGrace, listing())
+	is.Equal(u.State, roster.StateGone)
+	r.Sync(afterGrace.Add(time.Second), listing(registration(1, 9)))
+	is.Equal(r.Get("a"), u)
+	is.Equal(u.State, roster.StateListed)
+	is.Equal(len(r.Gone()), 0)
+	r.ExpireTags(afterGrace.Add(time.Hour))
+	is.Equal(r.ByTag("orders", u.Tag), u)
+}
+
+// TestReplacedAfterAbsence checks that a run whose registration was gone before a later run took its ID or its address counts as replaced.
+func TestReplacedAfterAbsence(t *testing.T) {
+	address, other := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
+	earlier := model.Registration{ID: "a", Boot: 200, Revision: 4, Service: "orders", Address: address}
+	cases := map[string]struct {
+		next model.Registration
+		want bool
+	}{
+		"later run under the ID":              {next: model.Registration{ID: "a", Boot: 300, Revision: 9, Service: "orders", Address: other}, want: true},
+		"later run at the address":            {next: model.Registration{ID: "b", Boot: 300, Revision: 9, Service: "orders", Address: address}, want: true},
+		"earlier run at the address":          {next: model.Registration{ID: "b", Boot: 100, Revision: 9, Service: "orders", Address: address}},
+		"another upstream at another address": {next: model.Registration{ID: "b", Boot: 300, Revision: 9, Service: "orders", Address: other}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.Sync(0, listing(earlier))
+			u := r.Get("a")
+			r.Sync(afterGrace, listing())
+			r.Sync(afterGrace.Add(time.Second), listing(tc.next))
+			is.Equal(u.State, roster.StateGone)
+			is.Equal(u.Replaced(), tc.want)
+		})
+	}
+}
+
 // TestDrainingIsFinal guards against new flows to an upstream that has announced its shutdown and that a copy of the store lists as it was before.
 func TestDrainingIsFinal(t *testing.T) {
 	draining := registration(3, 8)
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -74,6 +74,15 @@
 	return era != u.Era && reg.Boot != 0 && reg.Boot < u.Boot
 }
 
+// replacedBy reports whether reg, which was listed in an era, is of a later run under the ID or at the address. The clocks of two machines may
+// differ, so at the address the registration must have been written later as well.
+func (u *Upstream) replacedBy(reg *model.Registration, era model.Era) bool {
+	if u.Boot == 0 || reg.Boot <= u.Boot {
+		return false
+	}
+	return reg.ID == u.ID || (reg.Address == u.Address && era == u.Era && reg.Revision > u.Revision)
+}
+
 // isRun reports whether reg is the registration of this run.
 func (u *Upstream) isRun(reg *model.Registration) bool {
 	return u.Boot == reg.Boot && u.Service == reg.Service && u.Address == reg.Address
