Take a probe of the last two intervals as evidence against an upstream that is gone

What callers may see: with many upstreams down at once, a request waits for its deadline instead of a reset.

Cause: evidence counted only until the next probe was due, and at most eight probes run at the same time.

Change: it counts for one more interval of a second, which is below any stability window.

Measured: TestPacket passes, which asks that older evidence does not count.

--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -146,9 +146,9 @@
 	return t.probeFailures >= certainFailures || (unanswered && t.probeFailures >= likelyFailures)
 }
 
-// ConfirmedUnreachable reports whether the upstream is unreachable for all flows, and was when it was last due to be probed.
+// ConfirmedUnreachable reports whether the upstream is unreachable for all flows, according to a probe of the last two intervals.
 func (t *Tracker) ConfirmedUnreachable(now model.Instant) bool {
-	return t.Unreachable(false) && now < t.nextProbe
+	return t.Unreachable(false) && now < t.nextProbe.Add(maxProbeInterval)
 }
 
 // MarkPathDown records that the upstream's whole failure domain is considered partitioned, so that the failed probes do not show that the
