Ask the store about a new era by one call, spread over a second

What callers may see: nothing; what the store sees after a restore: up to four calls and three whole lists of every instance within milliseconds.

Cause: each instance that heard of a new era read the store at once.

The question is asked at a random time within a second, well within the grace period.

--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -20,9 +20,11 @@
 	StepClaimRole
 	// StepPollLead waits, as the reader of a failure domain, for the next update from the lead reader.
 	StepPollLead
+	// StepVerifyEra asks the store for its era, which a peer has reported.
+	StepVerifyEra
 )
 
-var stepNames = map[Step]string{StepReadStore: "store", StepPollReader: "reader", StepClaimRole: "claim", StepPollLead: "lead"}
+var stepNames = map[Step]string{StepReadStore: "store", StepPollReader: "reader", StepClaimRole: "claim", StepPollLead: "lead", StepVerifyEra: "era"}
 
 // String returns the name of the step.
 func (s Step) String() string {
@@ -59,8 +61,8 @@
 	failed model.Position
 	// storeNext is set while the store has to be read instead of polling the reader.
 	storeNext bool
-	// verifyNext is set while the store has to be read because a peer has reported something that the store should confirm.
-	verifyNext bool
+	// verifyAt is when the store is to be asked for its era; zero if that is not necessary.
+	verifyAt model.Instant
 	// readerAnswers is set if the reader answered the last poll, if only with outdated data.
 	readerAnswers bool
 	// awaitReader is set after a failed read of the store while the reader answers: the store probably rejects both, and the reader will pass
@@ -119,8 +121,8 @@
 func (s *Scheduler) Next(now model.Instant) (Step, time.Duration) {
 	wait := max(s.nextAt.Sub(now), 0)
 	switch {
-	case s.verifyNext:
-		return StepReadStore, wait
+	case s.verifyAt != 0 && now >= s.verifyAt:
+		return StepVerifyEra, 0
 	case s.pollsLead(now):
 		return StepPollLead, 0
 	case !s.recordRead || s.storeNext || s.record.Holder == s.self:
@@ -190,15 +192,18 @@
 	return maxAgeIntervals * s.pacer.Interval()
 }
 
-// ReadStoreNext makes the next step a read of the store, whoever is the reader.
-func (s *Scheduler) ReadStoreNext() {
-	s.verifyNext = true
+// VerifyEra makes StepVerifyEra the next step at the instant at or soon after.
+func (s *Scheduler) VerifyEra(at model.Instant) {
+	s.verifyAt = max(at, 1)
+}
+
+// FinishVerifyEra records that the store was asked for its era. An instance that the store does not answer keeps what it has heard.
+func (s *Scheduler) FinishVerifyEra() {
+	s.verifyAt = 0
 }
 
 // FinishStoreRead records the outcome of a read of the store that started at start.
 func (s *Scheduler) FinishStoreRead(now, start model.Instant, record model.ReaderRecord, ok bool) {
-	// An instance that the store does not answer keeps what it has heard.
-	s.verifyNext = false
 	s.nextAt = now.Add(s.pacer.FinishRead(ok, now.Sub(start)))
 	if !ok {
 		// The reader may have newer data than this instance can read from a store that does not respond to it.
@@ -206,7 +211,7 @@
 		s.storeNext = !s.recordRead || (s.roleVacant() && !s.awaitReader)
 		return
 	}
-	s.awaitReader = false
+	s.awaitReader, s.verifyAt = false, 0
 	s.record, s.recordRead, s.storeNext = record, true, false
 	s.confirmedAt = max(s.confirmedAt, start)
 	switch {
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -21,6 +21,8 @@
 	seedDelay = 250 * time.Millisecond
 	// seedRetryInterval is the time between two rounds of polls of the seeds.
 	seedRetryInterval = 500 * time.Millisecond
+	// maxVerifyDelay spreads the questions of all instances about a new era of the store. It is below the grace period, in which nothing ends.
+	maxVerifyDelay = time.Second
 	// readTimeout bounds one read of the store. It exceeds the time that lists of the planned size take over the slowest link, 10 Mbit/s.
 	readTimeout = 10 * time.Second
 )
@@ -49,6 +51,8 @@
 			f.pollLead(ctx)
 		case fresh.StepClaimRole:
 			f.claim(ctx)
+		case fresh.StepVerifyEra:
+			f.verifyEra(ctx)
 		default:
 			f.readStore(ctx)
 		}
@@ -216,16 +220,28 @@
 }
 
 // applyPolled applies the snapshot of a peer. It reports false if the snapshot is of an earlier era than the current one, so that it confirms
-// nothing. An era that only the peer knows so far is checked by a read of the store, which has the last word.
+// nothing. The store, which has the last word, is asked about an era that only the peer knows so far.
 func (f *follower) applyPolled(ctx context.Context, snap model.Snapshot, from snapshotSource) (ok bool) {
 	era := f.currentSnapshot().Era
 	f.applySnapshot(ctx, snap, from)
 	if snap.Era > era {
-		f.scheduler.ReadStoreNext()
+		f.scheduler.VerifyEra(f.now().Add(rand.N(maxVerifyDelay)))
 	}
 	return snap.Era >= era
 }
 
+// verifyEra asks the store whether it has the era of the current snapshot, and reads it if it does not. One small list tells; the snapshot stays as the
+// peer sent it, so that the next polls are answered with changes.
+func (f *follower) verifyEra(ctx context.Context) {
+	readCtx, cancel := f.withIdleTimeout(ctx, f.scheduler.StoreTimeout())
+	defer cancel()
+	list, err := countingRead(f.Relay, f.cfg.ReaderRecords.Read)(readCtx)
+	f.scheduler.FinishVerifyEra()
+	if err == nil && list.Era != f.currentSnapshot().Era {
+		f.readStore(ctx)
+	}
+}
+
 // claim tries to become the reader of the failure domain.
 func (f *follower) claim(ctx context.Context) {
 	record := f.scheduler.ReaderRecord()
--- a/internal/run/relay/start.go
+++ b/internal/run/relay/start.go
@@ -29,8 +29,8 @@
 	pollCtx, cancel := context.WithTimeout(ctx, readerStartTimeout)
 	defer cancel()
 	snap, err := f.share.Poll(pollCtx, record.Control, model.Snapshot{}, 0)
-	if err != nil || snap.Age > f.scheduler.MaxAge() {
-		f.logger("platform").With("holder", record.Holder).With("error", err).With("ageMs", snap.Age.Milliseconds()).
+	if err != nil || snap.Age > f.scheduler.MaxAge() || snap.Era != record.Era {
+		f.logger("platform").With("holder", record.Holder).With("error", err).With("ageMs", snap.Age.Milliseconds()).With("era", snap.Era).With("storeEra", record.Era).
 			Info("The reader of the failure domain has no recent snapshot; reading the platform's store.")
 		return false
 	}
--- a/internal/run/relay/start_test.go
+++ b/internal/run/relay/start_test.go
@@ -52,6 +52,11 @@
 			s.Publish(snapshot)
 			return model.ReaderRecord{Holder: "reader", Revision: 5, Control: addr}
 		}},
+		"reader with a snapshot from before a restore of the store": {reader: func(t *testing.T) model.ReaderRecord {
+			s, addr := newShare(t, "reader")
+			s.Publish(snapshot)
+			return model.ReaderRecord{Holder: "reader", Revision: 5, Era: 1, Control: addr}
+		}},
 		"reader with an outdated snapshot": {reader: func(t *testing.T) model.ReaderRecord {
 			s, addr := newShare(t, "reader")
 			s.Publish(outdated)
