Drop packets with unknown tags until the registry has been known for the life of a flow

What callers may see: an open flow reset although its upstream serves (FLOW), at an instance that started after the registration of that upstream had expired.

Cause: an unknown tag ended a flow by absence alone. An instance that starts does not know what was listed before.

Change: the flow is reset only if the instance has known the registry without a gap or a restore for as long as a flow lives. Until then the packet is dropped after the time for which it is held. The caller waits for its deadline then, where a reset would let it repeat an idempotent request at once: the price of never resetting a flow that another instance still serves.

--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -102,8 +102,8 @@
 }
 
 // handleUnresolved handles a packet whose upstream is not known. The packet is held at first, as the upstream may be so new that only
-// other instances know it, or this instance may still be reading the registry. Once the registry has been confirmed since the tag was first
-// seen, the upstream has ended and the flow is reset.
+// other instances know it, or this instance may still be reading the registry. The flow is reset only if this instance would know the tag of any
+// upstream that the flow can belong to; otherwise the packet is dropped, as the upstream may serve.
 func (e *Engine) handleUnresolved(now model.Instant, seg *model.Segment, f *flow) {
 	if seg.Tag == 0 {
 		e.drop(seg, nil, model.ReasonTagMissing)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -142,10 +142,11 @@
 	}
 }
 
-// Complete reports whether the roster is certain to contain every upstream that was running at the given time: the store has confirmed
-// the roster since then and since the end of the grace period, and all registrations could be decoded.
+// Complete reports whether the roster knows the tag of every upstream that a flow of the given time can belong to: the store has confirmed the
+// roster since then, and without a gap for as long as a flow lives, and all registrations could be decoded. A roster that is younger may lack an
+// upstream that serves, as its registration may have expired before.
 func (r *Roster) Complete(since model.Instant) bool {
-	return r.confirmedAt > since && r.confirmedAt >= r.graceUntil && !r.hasUnreadable
+	return r.confirmedAt > since && r.confirmedAt.Sub(r.graceUntil) >= r.cfg.TagRetention && !r.hasUnreadable
 }
 
 // ExpireTags removes the tags of upstreams that ended at least TagRetention ago.
