--- a/internal/proof/direct/odd_test.go
+++ b/internal/proof/direct/odd_test.go
@@ -48,3 +48,24 @@
 	s.checkServed()
 	s.checkInvariants()
 }
+
+// TestOddReaderRecords guards against reader records of another writer that keep failure domains without a reader, so that each of their instances reads
+// the store by itself.
+func TestOddReaderRecords(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	time.Sleep(steadyTime)
+	s.Store.CorruptReaders("east", "west", "elsewhere")
+	time.Sleep(changeLimit)
+	calls := s.Store.Calls()
+	time.Sleep(steadyTime)
+	now := s.Store.Calls()
+	if n := now.Reads - calls.Reads; n > maxSteadyCalls {
+		t.Errorf("%d calls to the store in %s in which nothing changed", n, steadyTime)
+	}
+	if n := now.Writes - calls.Writes; n > 0 {
+		t.Errorf("%d claims of the reader role in %s, after the records had become odd %s before", n, steadyTime, changeLimit)
+	}
+	s.checkServed()
+	s.checkInvariants()
+}
