--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -150,7 +150,7 @@
 	model.ReasonNoRoute.String():             "The configuration in force at that instance had no route for the address (see revision and ageMs). No request was executed.",
 	model.ReasonRouteRemoved.String():        "A newer configuration had removed the route of the open flow. A request in progress may have been executed.",
 	model.ReasonNoUpstream.String():          "No upstream could accept a new flow: none was listed, or all were draining, out, or at the cold-start limit. No request was executed.",
-	model.ReasonUpstreamGone.String():        "The upstream had terminated: its entry was missing from reliable registry data, and it did not answer probes or a later one had taken its place. A request in progress may have been executed.",
+	model.ReasonUpstreamGone.String():        "The upstream had terminated: without an entry, it answered no probe or was replaced. A request in progress may have been executed.",
 	model.ReasonUpstreamUnreachable.String(): "The upstream answered neither flows nor probes from that instance, so the flow was reset to let its idempotent caller retry.",
 	model.ReasonHandshakeSilent.String():     "The first upstream did not answer the opening packet in time, so the instance also sent the packet to another upstream.",
 	model.ReasonCallerRepeats.String():       "The caller retransmitted its opening packet because no upstream had answered the first one.",
