Keep an upstream cold that a restored copy of the store lists as warm

What callers may see: more new flows on a cold upstream than it bears (FAILBACK), when the store returns from a copy from before its failure domain became cold.

Cause: the first list of a new era decided on the cold start. took the earlier of two ends, on the claim that a run has one cold start only; an evacuation makes a run cold again.

Change: across eras, the later end counts.

--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -100,12 +100,12 @@
 }
 
 // coldUntil returns the end of the cold start according to a registration of this run that was listed in an era. ColdFor counts from the write,
-// which was received later, so the end is overestimated, never underestimated. A listing of another era may be from before the present one, and an
-// identified run has one cold start only.
+// which was received later, so the end is overestimated, never underestimated. The first listing of another era may be from before the present cold
+// start, since a run can become cold again, or from after it.
 func (u *Upstream) coldUntil(now model.Instant, reg *model.Registration, era model.Era) model.Instant {
 	until := now.Add(reg.ColdFor)
-	if era != u.Era && reg.Boot != 0 {
-		return min(until, u.ColdUntil)
+	if era != u.Era {
+		return max(until, u.ColdUntil)
 	}
 	return until
 }
