--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -198,10 +198,9 @@
 	p := newPair(t)
 	snap := newSnapshot(10, 5, 1)
 	p.reader.Publish(snap)
-	time.AfterFunc(50*time.Millisecond, func() {
-		snap.Age, snap.GraceLeft = 20*time.Millisecond, time.Second
-		p.reader.Publish(snap)
-	})
+	later := snap
+	later.Age, later.GraceLeft = 20*time.Millisecond, time.Second
+	time.AfterFunc(50*time.Millisecond, func() { p.reader.Publish(later) })
 	start := time.Now()
 	got, err := p.poller.Poll(p.ctx, p.readerAddr, snap, 5*time.Second)
 	p.NoErr(err)
--- a/internal/run/relay/read_test.go
+++ b/internal/run/relay/read_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -137,12 +138,12 @@
 // countingSource counts the calls for changes of a source.
 type countingSource[T any] struct {
 	fakeSource[T]
-	calls *int
+	calls *atomic.Int64
 }
 
 // ChangesSince implements Source.
 func (s countingSource[T]) ChangesSince(ctx context.Context, after model.Revision) (model.Changes[T], error) {
-	*s.calls++
+	s.calls.Add(1)
 	return s.fakeSource.ChangesSince(ctx, after)
 }
 
@@ -175,7 +176,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			calls := 0
+			var calls atomic.Int64
 			r := &Relay{
 				cfg: Config{
 					ReaderRecords: fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 184, items: tc.records}},
@@ -188,7 +189,7 @@
 			}
 			snap, _, err := r.readSnapshot(context.Background(), r.snapshot)
 			is.NoErr(err)
-			is.Equal(calls, tc.calls)
+			is.Equal(int(calls.Load()), tc.calls)
 			is.Equal(snap.Revision, model.Revision(184))
 			is.Equal(snap.Routes.Version, tc.version)
 			is.True(len(snap.Upstreams.Items) > 0)
