--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -25,6 +25,7 @@
 // cases holds the cases by name. Each returns what it saw of the rule being broken; without trouble it leaves out the disruption.
 var cases = map[string]func(*scenario) (violations []string, err error){
 	"foreign-service": runForeignService,
+	"late-write":      runLateWrite,
 }
 
 func main() {
