--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*scenario) (violations []string, err error){
 	"foreign-service": runForeignService,
 	"late-write":      runLateWrite,
+	"zone-loss":       runZoneLoss,
 }
 
 func main() {
