--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -27,6 +27,7 @@
 	"foreign-service": runForeignService,
 	"late-write":      runLateWrite,
 	"zone-loss":       runZoneLoss,
+	"missing-born":    runMissingBorn,
 }
 
 func main() {
