--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -28,6 +28,7 @@
 	"late-write":      runLateWrite,
 	"zone-loss":       runZoneLoss,
 	"missing-born":    runMissingBorn,
+	"node-cut":        runNodeCut,
 }
 
 func main() {
