--- a/review/_standin/cold.go
+++ b/review/_standin/cold.go
@@ -99,7 +99,7 @@
 // writeColdConfig writes a configuration that states coldRate.
 func (s *scenario) writeColdConfig(version int) {
 	var routes, services []map[string]any
-	for _, r := range []stand.Route{feedRoute, orderRoute, photoRoute} {
+	for _, r := range []stand.Route{feedRoute, orderRoute, claimRoute} {
 		kind := "unsafe"
 		if r.Idempotent {
 			kind = "safe"
--- a/review/_standin/flows.go
+++ b/review/_standin/flows.go
@@ -110,20 +110,6 @@
 	})
 }
 
-// overwritten is the number of registrations that another writer overwrites, one after the other.
-const overwritten = 6
-
-// runMissingBorn overwrites registrations of running upstreams once each by ones that lack the field born. Each upstream writes its own again at its
-// next heartbeat.
-func runMissingBorn(s *scenario) ([]string, error) {
-	return s.runForeignEntry(func(*stand.Upstream) {
-		for _, u := range s.upstreams[:overwritten] {
-			s.put("servers", u.Name(), registration(u))
-			s.rec.Printf("another writer replaced servers/%s by an entry without the field born", u.Name())
-		}
-	})
-}
-
 // runForeignEntry opens flows, lets another writer change the registry and watches the flows.
 func (s *scenario) runForeignEntry(write func(*stand.Upstream)) ([]string, error) {
 	if err := s.start(); err != nil {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -27,7 +27,7 @@
 	"foreign-service": runForeignService,
 	"late-write":      runLateWrite,
 	"zone-loss":       runZoneLoss,
-	"missing-born":    runMissingBorn,
+	"missing-fields":  runMissingFields,
 	"node-cut":        runNodeCut,
 }
 
--- a/review/_standin/scenario.go
+++ b/review/_standin/scenario.go
@@ -43,7 +43,7 @@
 
 	feedRoute  = stand.Route{Name: "stock-feed", Address: netip.MustParseAddrPort("198.18.0.1:8443"), Idempotent: true, Service: orderService}
 	orderRoute = stand.Route{Name: "tray-order", Address: netip.MustParseAddrPort("198.18.0.1:8080"), Service: orderService}
-	photoRoute = stand.Route{Name: "yield-photo", Address: netip.MustParseAddrPort("198.18.0.2:8443"), Service: claimService}
+	claimRoute = stand.Route{Name: "yield-photo", Address: netip.MustParseAddrPort("198.18.0.2:8443"), Service: claimService}
 )
 
 // scenario is one run of a case.
@@ -78,7 +78,7 @@
 	}
 	cfg := stage.Config{
 		Binary: s.binary, Dir: s.dir, Subnet: subnet, Domains: domains, Instances: 7, Services: services,
-		Routes: []stand.Route{feedRoute, orderRoute, photoRoute}, RequestTime: requestTime, ColdFor: coldFor, MaxStaleness: changeBound, LinkMbps: 1000,
+		Routes: []stand.Route{feedRoute, orderRoute, claimRoute}, RequestTime: requestTime, ColdFor: coldFor, MaxStaleness: changeBound, LinkMbps: 1000,
 	}
 	edit(&cfg)
 	s.env, err = stage.New(s.ctx, cfg)
@@ -169,10 +169,10 @@
 
 // request sends one request on a flow and records its outcome.
 func (s *scenario) request(f *stand.Flow, timeout time.Duration) error {
-	id := fmt.Sprintf("q%d", s.nextID.Add(1))
+	id := fmt.Sprintf("q%d for %s", s.nextID.Add(1), f.Key().Service)
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
-	s.rec.Printf("sent %s on flow %s to %s", id, f.Key().Caller, f.Key().Service)
+	s.rec.Printf("sent %s on flow %s", id, f.Key().Caller)
 	answer, err := f.Request(ctx, id)
 	if err != nil {
 		s.rec.Printf("failed %s on flow %s: %v", id, f.Key().Caller, err)
