--- a/review/_standin/flows.go
+++ b/review/_standin/flows.go
@@ -14,6 +14,8 @@
 	flowsPerDomain = 12
 	// requestTimeout is the deadline of an order.
 	requestTimeout = 1500 * time.Millisecond
+	// openAttempts is the number of attempts for one request: the first and two retries.
+	openAttempts = 3
 	// thinkTime is the pause between two requests on a flow.
 	thinkTime = 400 * time.Millisecond
 	// settleTime passes before the disruption; it exceeds stability-window-ms of the site (4 s).
@@ -39,7 +41,7 @@
 	for _, caller := range s.env.Callers {
 		for _, route := range []stand.Route{feedRoute, orderRoute} {
 			for range flowsPerDomain {
-				f, err := caller.Open(s.ctx, route.Address)
+				f, err := s.open(caller, route)
 				if err != nil {
 					return nil, fmt.Errorf("open a flow on %s: %w", route.Name, err)
 				}
@@ -52,6 +54,16 @@
 	return l, nil
 }
 
+// open opens a flow. Like the callers of the platform, it tries three times.
+func (s *scenario) open(caller *stand.Caller, route stand.Route) (f *stand.Flow, err error) {
+	for range openAttempts {
+		if f, err = caller.Open(s.ctx, route.Address); err == nil {
+			break
+		}
+	}
+	return f, err
+}
+
 // use sends requests on a flow for a time, and then closes it.
 func (l *longFlows) use(f *stand.Flow, route string, lifetime time.Duration) {
 	end := time.After(lifetime)
