Log which registration ends a run of an upstream, and which is refused

A registration of another run, an address used again and a registration that expired could not be told apart, nor could a registration that the roster ignores.

Change: a state change carries its cause and the registration behind it, and refused registrations are logged and counted (roster.ended.CAUSE, roster.refused.CAUSE). No decision changes.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -59,6 +59,8 @@
 	retainUntil model.Instant
 	// changes collects state changes until TakeStateChanges returns them for the log.
 	changes []StateChange
+	// refusals collects refused registrations until TakeRefusals returns them for the log.
+	refusals []Refusal
 }
 
 // StateChange is a change of the state of an upstream or of its draining flag.
@@ -66,6 +68,9 @@
 	Upstream *Upstream
 	// State is the state after the change.
 	State State
+	// Cause is set if a registration of another run has ended the upstream, and By is that registration.
+	Cause Cause
+	By    model.Registration
 }
 
 // New returns an empty roster, whose grace period ends OutageGrace after the start of the process.
@@ -262,10 +267,11 @@
 	case u.writtenAfter(reg, era):
 		return true
 	case u.startedAfter(reg, era):
+		r.refuse(u, reg, CauseEarlierRun)
 		return false
 	case !u.isRun(reg):
 		u.replaced = true
-		r.markGone(now, u)
+		r.end(now, u, u.difference(reg), reg)
 		u = nil
 	}
 	draining := reg.Draining || r.hasDrained(reg)
@@ -299,6 +305,7 @@
 	u := &Upstream{Tag: routingTag(reg), Registration: *reg, ColdUntil: now.Add(reg.ColdFor)}
 	if old := r.tags[u.key()]; old != nil && old.ID == reg.ID && old.Boot == reg.Boot {
 		if old.superseded {
+			r.refuse(old, reg, CauseAddressReused)
 			return nil
 		}
 		if !old.replaced {
@@ -337,7 +344,7 @@
 		return
 	}
 	earlier.superseded = true
-	r.markGone(now, earlier)
+	r.end(now, earlier, CauseAddressReused, &later.Registration)
 }
 
 func (r *Roster) markUnreadable(now model.Instant, id model.UpstreamID) {
@@ -378,6 +385,13 @@
 	r.ended = append(r.ended, u)
 }
 
+// end gives up an upstream because of a registration of another run.
+func (r *Roster) end(now model.Instant, u *Upstream, cause Cause, by *model.Registration) {
+	r.markGone(now, u)
+	change := &r.changes[len(r.changes)-1]
+	change.Cause, change.By = cause, *by
+}
+
 func (r *Roster) setState(now model.Instant, u *Upstream, s State) {
 	if u.State == s {
 		return
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -88,6 +88,18 @@
 	return u.Boot == reg.Boot && u.Service == reg.Service && u.Address == reg.Address
 }
 
+// difference says how reg, which is not of this run, differs from its registration.
+func (u *Upstream) difference(reg *model.Registration) Cause {
+	switch {
+	case reg.Boot == 0 || reg.Boot == u.Boot || reg.Service != u.Service:
+		return CauseOtherIdentity
+	case reg.Boot < u.Boot:
+		return CauseEarlierRun
+	default:
+		return CauseLaterRun
+	}
+}
+
 // Replaced reports whether a later run has taken the ID or the address, so that this run has ended for certain.
 func (u *Upstream) Replaced() bool {
 	return u.superseded || u.replaced
--- a/internal/run/relay/apply.go
+++ b/internal/run/relay/apply.go
@@ -96,10 +96,11 @@
 		With("currentEra", r.snapshot.Era).With("currentRevision", r.snapshot.Revision)
 }
 
-// discardStateChanges discards the state changes of upstreams that the first read of the registry causes: one log line each would take a
+// discardStateChanges discards the state changes and refused registrations of upstreams that the first read of the registry causes: one log line each would take a
 // starting instance longer than the read itself. It runs in the decision loop.
 func (r *Relay) discardStateChanges() {
 	r.engine.Roster().TakeStateChanges()
+	r.engine.Roster().TakeRefusals()
 }
 
 // startServing makes the instance ready. It does nothing after the first call. It runs in the decision loop.
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -137,19 +137,49 @@
 			log.With("domain", ev.Domain).Info("A failure domain answers again; its upstreams get new flows.")
 		}
 	}
+	r.logRegistrations(now)
+	if isolated := r.engine.Isolated(); isolated != r.isolated.Swap(isolated) {
+		r.logger("relay").With("isolated", isolated).Warn("The reachability of the upstreams has changed; while isolated is true, none is reachable and the readiness check fails.")
+	}
+}
+
+// logRegistrations logs changes in the registration state of upstreams, and the registrations that were refused.
+func (r *Relay) logRegistrations(now model.Instant) {
 	for _, ev := range r.engine.Roster().TakeStateChanges() {
+		if ev.Cause != 0 {
+			r.counts.Counter("roster.ended." + ev.Cause.String()).Inc(1)
+		}
 		if !r.recorder.stateChanges.Allow(time.Duration(now), "upstream_"+ev.State.String()) {
 			continue
 		}
-		withUpstream(r.logger("roster"), ev.Upstream).With("service", ev.Upstream.Service).With("draining", ev.Upstream.Draining).
-			With("era", r.era.Load()).With("revision", r.revision.Load()).With("ageMs", r.snapshotAge(now).Milliseconds()).
-			Info("The registration state or the draining flag of an upstream has changed.")
+		log := r.rosterLogger(now, ev.Upstream).With("draining", ev.Upstream.Draining)
+		if ev.Cause != 0 {
+			log = withRegistration(log.With("cause", ev.Cause.String()), &ev.By)
+		}
+		log.Info("The registration state or the draining flag of an upstream has changed.")
 	}
-	if isolated := r.engine.Isolated(); isolated != r.isolated.Swap(isolated) {
-		r.logger("relay").With("isolated", isolated).Warn("The reachability of the upstreams has changed; while isolated is true, none is reachable and the readiness check fails.")
+	for _, refused := range r.engine.Roster().TakeRefusals() {
+		r.counts.Counter("roster.refused." + refused.Cause.String()).Inc(1)
+		if !r.recorder.stateChanges.Allow(time.Duration(now), "refused_"+refused.Cause.String()) {
+			continue
+		}
+		withRegistration(r.rosterLogger(now, refused.Upstream).With("cause", refused.Cause.String()), &refused.Registration).
+			Warn("A registration was refused because of what is known of another run of an upstream.")
 	}
 }
 
+// rosterLogger returns a logger with the fields of an upstream and of the current snapshot.
+func (r *Relay) rosterLogger(now model.Instant, u *roster.Upstream) logs.Logger {
+	return withUpstream(r.logger("roster"), u).With("service", u.Service).
+		With("era", r.era.Load()).With("revision", r.revision.Load()).With("ageMs", r.snapshotAge(now).Milliseconds())
+}
+
+// withRegistration adds the fields of a registration that contradicts what is known of an upstream.
+func withRegistration(log logs.Logger, reg *model.Registration) logs.Logger {
+	return log.With("otherUpstream", reg.ID).With("otherBoot", reg.Boot).With("otherRevision", reg.Revision).With("otherService", reg.Service).
+		With("otherAddress", reg.Address)
+}
+
 // recordSamples adds the latencies that the engine has measured to the histograms.
 func (r *Relay) recordSamples() {
 	for _, s := range r.engine.TakeSamples() {
