Do not end a run because of a late heartbeat of an earlier one

Cause: within one era of the store, the roster took the registration that was written last for the present run, also if it names an earlier start, and counted the present run as replaced, which ends its flows without a probe. The store may execute a heartbeat seconds late, after the next run has registered. Ruled out: an old listing that comes back (the revision is new), failed probes (none is sent).

Evidence: the log of causes shows earlier_run on all instances within 10 ms of the late write, and upstream_gone resets from then on.

Change: a registration that contradicts a known run, by an earlier start or because that run was known before, is contested. It changes nothing until it has stood for 5 s, which a late write cannot: the upstream overwrites it at its next heartbeat, or the platform removes it. One that stands is used, and the other run is gone but not replaced, so its flows go on while it answers probes.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -59,6 +59,8 @@
 	retainUntil model.Instant
 	// changes collects state changes until TakeStateChanges returns them for the log.
 	changes []StateChange
+	// contests holds the registrations that contradict a known run, by ID; only those that the last listing contained.
+	contests map[model.UpstreamID]*contest
 	// refusals collects refused registrations until TakeRefusals returns them for the log.
 	refusals []Refusal
 }
@@ -83,6 +85,7 @@
 		addresses:   map[netip.AddrPort]*Upstream{},
 		outSince:    map[model.DomainID]model.Instant{},
 		retainedOut: map[model.DomainID]bool{},
+		contests:    map[model.UpstreamID]*contest{},
 		graceUntil:  model.Instant(OutageGrace),
 	}
 }
@@ -106,6 +109,7 @@
 	for _, u := range r.matching(func(u *Upstream) bool { return !listed[u.ID] }) {
 		r.markMissing(now, u.ID)
 	}
+	maps.DeleteFunc(r.contests, func(id model.UpstreamID, _ *contest) bool { return !listed[id] })
 }
 
 // matching returns the current upstreams for which match returns true, ordered by ID.
@@ -145,6 +149,7 @@
 	for _, u := range r.matching(func(u *Upstream) bool { return u.State == StateMissing && confirmedAt.Sub(u.Since) >= OutageGrace }) {
 		r.markGone(now, u)
 	}
+	r.settleContests(now, confirmedAt)
 }
 
 // Complete reports whether the roster knows the tag of every upstream that a flow of the given time can belong to: the store has confirmed the
@@ -258,18 +263,27 @@
 	return changes
 }
 
-// upsert applies a registration that was listed in an era. A new run under a known ID ends the previous run. Registrations older than the known
-// one are ignored. It reports whether the listing has the known run or a later one.
+// upsert applies a registration that was listed in an era, unless it is older than the known one or contradicts it. It reports whether the listing
+// says that the known run may be running.
 func (r *Roster) upsert(now model.Instant, reg *model.Registration, era model.Era) (listed bool) {
 	u := r.current[reg.ID]
 	switch {
-	case u == nil:
-	case u.writtenAfter(reg, era):
-		return true
-	case u.startedAfter(reg, era):
+	case u != nil && u.writtenAfter(reg, era):
+	case u != nil && u.startedAfter(reg, era):
 		r.refuse(u, reg, CauseEarlierRun)
+		delete(r.contests, reg.ID)
 		return false
-	case !u.isRun(reg):
+	case r.contested(now, u, reg, era):
+	default:
+		r.apply(now, u, reg, era)
+	}
+	return true
+}
+
+// apply applies a registration to the current run u, which is nil if there is none. A new run under a known ID ends the previous run.
+func (r *Roster) apply(now model.Instant, u *Upstream, reg *model.Registration, era model.Era) {
+	delete(r.contests, reg.ID)
+	if u != nil && !u.isRun(reg) {
 		u.replaced = true
 		r.end(now, u, u.difference(reg), reg)
 		u = nil
@@ -277,7 +291,7 @@
 	draining := reg.Draining || r.hasDrained(reg)
 	if u == nil {
 		if u = r.insert(now, reg, era); u == nil {
-			return true
+			return
 		}
 	} else if reg.Revision != u.Revision {
 		u.ColdUntil = u.coldUntil(now, reg, era)
@@ -289,14 +303,22 @@
 	u.Draining = draining
 	r.setState(now, u, StateListed)
 	r.supersede(now, u)
-	return true
+}
+
+// run returns the known run that a registration names, or nil. It may be in StateGone.
+func (r *Roster) run(reg *model.Registration) *Upstream {
+	u := r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
+	if u == nil || reg.Boot == 0 || u.ID != reg.ID || u.Boot != reg.Boot {
+		return nil
+	}
+	return u
 }
 
 // hasDrained reports whether the run that a registration names is known to drain or to have drained. A run that drains exits. A registration that
 // says otherwise comes from a copy of the store from before, of which only an identified run can be told apart from a new start.
 func (r *Roster) hasDrained(reg *model.Registration) bool {
-	u := r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
-	return u != nil && reg.Boot != 0 && u.ID == reg.ID && u.Boot == reg.Boot && u.Draining
+	u := r.run(reg)
+	return u != nil && u.Draining
 }
 
 // insert adds a run of an upstream. A run that was gone from the registry and reappears keeps its load and its health. It returns nil if the run
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -85,7 +85,7 @@
 
 // isRun reports whether reg is the registration of this run.
 func (u *Upstream) isRun(reg *model.Registration) bool {
-	return u.Boot == reg.Boot && u.Service == reg.Service && u.Address == reg.Address
+	return sameRun(&u.Registration, reg)
 }
 
 // difference says how reg, which is not of this run, differs from its registration.
--- /dev/null
+++ b/internal/proof/direct/contest_test.go
@@ -0,0 +1,105 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"hawthorncourse/internal/stand/stage"
+	"hawthorncourse/platform/stand"
+)
+
+const (
+	// restartPause is how long a crashed upstream is down.
+	restartPause = 300 * time.Millisecond
+	// heartbeatTime is the time between two heartbeats of an upstream.
+	heartbeatTime = 1200 * time.Millisecond
+	// flowsAtUpstream is the number of flows that stay open at one upstream, and maxOpenings how often each caller opens a flow at most for it.
+	flowsAtUpstream = 8
+	maxOpenings     = 100
+)
+
+// TestLateHeartbeatOfEarlierRun guards against flows that are reset because the store executes a heartbeat of an upstream after it has started again. All
+// ways to the registration are taken: the lead reads the store, the others poll the lead or their reader, and an instance starts.
+func TestLateHeartbeatOfEarlierRun(t *testing.T) {
+	cases := map[string]func(*system){
+		"instances that run": func(*system) {},
+		"an instance of each failure domain starts": func(s *system) {
+			for _, p := range []*stage.Process{s.follower("east"), s.follower("west")} {
+				s.killAndStart(p)
+			}
+			s.check(s.AwaitReady(startTimeout))
+		},
+	}
+	for name, meanwhile := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t)
+			u := s.upstreams[0]
+			late := u.HeartbeatText()
+			u.Close()
+			time.Sleep(restartPause)
+			s.check(u.Start())
+			time.Sleep(steadyTime)
+			flows := s.openAt(u)
+			u.WriteHeartbeat(late)
+			meanwhile(s)
+			s.checkOpen(u, flows)
+			u.Register()
+			time.Sleep(heartbeatTime)
+			from := time.Now()
+			s.load.ResetCounts()
+			time.Sleep(steadyTime)
+			s.checkOpen(u, flows)
+			if !u.LastOpening().After(from) {
+				t.Errorf("upstream %s gets no new flows after its next heartbeat", u.Name())
+			}
+			s.checkServed()
+			s.checkInvariants()
+		})
+	}
+}
+
+// openAt opens flows of each caller until flowsAtUpstream of them are open at the upstream, and returns these.
+func (s *system) openAt(u *stand.Upstream) (flows []*stand.Flow) {
+	s.t.Helper()
+	for range maxOpenings {
+		for _, c := range s.Callers {
+			f, err := c.Open(s.ctx, feedAddress)
+			s.check(err)
+			s.check(s.request(f))
+			if u.HasFlow(f.Key()) {
+				flows = append(flows, f)
+			} else {
+				f.Close()
+			}
+		}
+		if len(flows) >= flowsAtUpstream {
+			return flows
+		}
+	}
+	s.t.Fatalf("%d flows are open at upstream %s", len(flows), u.Name())
+	return nil
+}
+
+// checkOpen sends a request on each flow for heartbeatTime, and checks that the flows are served and stay at the upstream.
+func (s *system) checkOpen(u *stand.Upstream, flows []*stand.Flow) {
+	s.t.Helper()
+	for end := time.Now().Add(heartbeatTime); time.Now().Before(end); time.Sleep(thinkTime) {
+		for _, f := range flows {
+			if err := s.request(f); err != nil || !u.HasFlow(f.Key()) {
+				s.t.Fatalf("a flow at the running upstream %s failed: %v", u.Name(), err)
+			}
+		}
+	}
+}
+
+// request sends a request on a flow that the test has opened.
+func (s *system) request(f *stand.Flow) error {
+	s.requests++
+	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+	defer cancel()
+	_, err := f.Request(ctx, fmt.Sprintf("feed-open-%d", s.requests))
+	return err
+}
--- a/internal/proof/direct/harness_test.go
+++ b/internal/proof/direct/harness_test.go
@@ -61,6 +61,8 @@
 	ctx       context.Context
 	upstreams []*stand.Upstream
 	load      *crowd.Generator
+	// requests counts the requests that the test itself has sent, to number them.
+	requests int
 }
 
 // newSystem starts two instances and three upstreams in each of two failure domains, and the load. It stops them when the test ends. The edits
