Do not end a run because of an entry at its address that names no upstream to use

Cause: the roster took any later registration at an address for proof that the earlier upstream there has ended, without asking whether it names an upstream to use, and refused the registrations of a run that it had ended so.

Change: only registrations of services that a configuration has named end another run at their address, whichever of the two is known first. A run that was ended by a use of its address is contested, and used again if its registration stands for 5 s beside the other. Tests of reused addresses name their services now, as a configuration does; their expectations are unchanged.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -233,6 +233,7 @@
 		next := &route{Route: r}
 		for _, target := range r.Targets {
 			next.services = append(next.services, target.Service)
+			e.roster.NameService(target.Service)
 		}
 		if old := e.routes[r.Address]; old != nil {
 			next.services = appendMissing(next.services, old.services)
@@ -243,6 +244,7 @@
 	e.serviceLimits = make(map[model.ServiceID]model.ServiceLimits, len(t.Services))
 	for _, s := range t.Services {
 		e.serviceLimits[s.ID] = s
+		e.roster.NameService(s.ID)
 	}
 	if t.FlowIdle <= 0 {
 		t.FlowIdle = defaultFlowIdle
--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -40,16 +40,12 @@
 
 // contradicted returns the known run that a registration contradicts, and why; nil if it contradicts none.
 func (r *Roster) contradicted(u *Upstream, reg *model.Registration, era model.Era) (*Upstream, Cause) {
-	if reg.Boot == 0 {
-		return nil, 0
-	}
-	seen := r.run(reg)
 	switch {
-	case u == nil && (seen == nil || seen.Replaced()):
-		return r.endedAfter(reg, era), CauseEarlierRun
-	case u == nil || u.isRun(reg):
+	case reg.Boot == 0:
 		return nil, 0
-	case reg.Boot < u.Boot || (seen != nil && seen.Era == era):
+	case u == nil:
+		return r.contradictedEnd(reg, era)
+	case !u.isRun(reg) && (reg.Boot < u.Boot || r.run(reg).listedIn(era)):
 		// A run that was listed before u, in the same era, cannot have replaced it, whatever the clocks say.
 		return u, CauseEarlierRun
 	default:
@@ -57,15 +53,25 @@
 	}
 }
 
-// endedAfter returns an ended run with the ID of a registration that started later and was listed in the same era. In another era, the store may
-// have been restored from a copy from before that run.
-func (r *Roster) endedAfter(reg *model.Registration, era model.Era) *Upstream {
+// contradictedEnd is contradicted for an upstream without a current run: a registration may be of a run that was replaced, or of one from before a run
+// that has ended. Other runs may return. In another era, the store may have been restored from a copy from before the end.
+func (r *Roster) contradictedEnd(reg *model.Registration, era model.Era) (*Upstream, Cause) {
+	seen := r.run(reg)
+	switch {
+	case seen == nil:
+	case seen.superseded:
+		return seen, CauseAddressReused
+	case seen.replaced && seen.listedIn(era):
+		return seen, CauseEarlierRun
+	case !seen.replaced:
+		return nil, 0
+	}
 	for _, e := range r.ended {
-		if e.ID == reg.ID && e.Boot > reg.Boot && e.Era == era {
-			return e
+		if e.ID == reg.ID && e.Boot > reg.Boot && e.listedIn(era) {
+			return e, CauseEarlierRun
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // settleContests applies the registrations that have stood for ContestTime according to a confirmation by the store. A run that one of them ends does
@@ -79,6 +85,10 @@
 		if u := r.current[id]; u != nil {
 			r.end(now, u, c.cause, &c.registration)
 		}
+		if known := r.run(&c.registration); known != nil {
+			// An upstream that ends no longer writes its registration, and one that lives has not ended.
+			known.superseded, known.replaced, known.outlived = false, false, r.addresses[known.Address]
+		}
 		r.apply(now, nil, &c.registration, c.era)
 	}
 }
--- a/internal/core/roster/contest_test.go
+++ b/internal/core/roster/contest_test.go
@@ -1,6 +1,8 @@
 package roster_test
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -182,3 +184,168 @@
 	is.Equal(r.Get("a"), u)
 	is.True(!u.Replaced())
 }
+
+// TestForeignEntry guards against flows that are reset, and upstreams that get no new flows, because another writer registers a service that no
+// configuration names at the address of a running upstream.
+func TestForeignEntry(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	own := func(rev model.Revision) model.Registration {
+		reg := registration(presentBoot, rev)
+		reg.Address = address
+		return reg
+	}
+	foreign := func(rev model.Revision) model.Registration {
+		return model.Registration{ID: "foreign", Boot: presentBoot + 100, Revision: rev, Number: 8, Service: "monitoring", Domain: "east", Address: address, Slots: 1}
+	}
+	at, next := lateWrite, lateWrite.Add(time.Second)
+	cases := map[string]struct {
+		// starts is set if the instance starts with the steps, and has not known the upstream before.
+		starts bool
+		steps  func(*roster.Roster)
+		// gone is set if the own registration is not listed at the end.
+		gone bool
+	}{
+		"after the own entry":                {steps: func(r *roster.Roster) { r.Sync(at, listing(own(5), foreign(9))) }},
+		"after the own entry, listed before": {steps: func(r *roster.Roster) { r.Sync(at, listing(foreign(9), own(5))) }},
+		"before a heartbeat, in one change":  {steps: func(r *roster.Roster) { r.Sync(at, listing(own(10), foreign(9))) }},
+		"before a heartbeat, listed before":  {steps: func(r *roster.Roster) { r.Sync(at, listing(foreign(9), own(10))) }},
+		"between two heartbeats of one change": {steps: func(r *roster.Roster) {
+			r.Sync(at, listing(own(8), foreign(9)))
+			r.Sync(next, listing(own(10), foreign(9)))
+		}},
+		"then a heartbeat": {steps: func(r *roster.Roster) {
+			r.Sync(at, listing(own(5), foreign(9)))
+			r.Sync(next, listing(own(10), foreign(9)))
+		}},
+		"then a heartbeat, then written again": {
+			steps: func(r *roster.Roster) {
+				r.Sync(at, listing(own(5), foreign(9)))
+				r.Sync(next, listing(own(10), foreign(9)))
+				r.Sync(next, listing(own(10), foreign(12)))
+			},
+		},
+		"then removed":     {steps: func(r *roster.Roster) { r.Sync(at, listing(own(5), foreign(9))); r.Sync(next, listing(own(5))) }},
+		"a page of a list": {steps: func(r *roster.Roster) { r.Add(at, listing(foreign(9)).Items, 0) }},
+		"after the own entry was lost": {
+			steps: func(r *roster.Roster) { r.Sync(at, listing()); r.Sync(next, listing(foreign(9))) }, gone: true,
+		},
+		"before the own entry was lost": {
+			steps: func(r *roster.Roster) { r.Sync(at, listing(own(5), foreign(9))); r.Sync(next, listing(foreign(9))) }, gone: true,
+		},
+		"in an outage, after which the own entry returns": {
+			steps: func(r *roster.Roster) {
+				r.ExtendGrace(next)
+				r.Sync(at, listing(foreign(9)))
+				r.Sync(next, listing(foreign(9), own(12)))
+			},
+		},
+		"after a restore of the store": {
+			steps: func(r *roster.Roster) {
+				list := listing(own(3), foreign(4))
+				list.Era = 1
+				r.Sync(at, list)
+			},
+		},
+		"known before the own entry":             {starts: true, steps: func(r *roster.Roster) { r.Sync(at, listing(foreign(9))); r.Sync(next, listing(foreign(9), own(10))) }},
+		"at a start, in one list":                {starts: true, steps: func(r *roster.Roster) { r.Sync(at, listing(own(5), foreign(9))) }},
+		"at a start, in an earlier page":         {starts: true, steps: func(r *roster.Roster) { r.Add(at, listing(foreign(9)).Items, 0); r.Add(at, listing(own(5)).Items, 0) }},
+		"at a start, in a later page":            {starts: true, steps: func(r *roster.Roster) { r.Add(at, listing(own(5)).Items, 0); r.Add(at, listing(foreign(9)).Items, 0) }},
+		"at a start, then other services change": {starts: true, steps: func(r *roster.Roster) { r.Sync(at, listing(own(5), foreign(9))); r.NameService("claims") }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			if !tc.starts {
+				r.Sync(afterGrace, listing(own(5)))
+			}
+			tc.steps(r)
+			r.Confirm(next, next)
+			if tc.gone {
+				is.Equal(len(r.Gone()), 1)
+				is.True(!r.Gone()[0].Replaced())
+				return
+			}
+			u := r.Get("a")
+			is.True(u != nil)
+			is.True(r.Usable(u))
+			is.True(!u.Replaced())
+			is.Equal(r.ByTag("orders", u.Tag), u)
+		})
+	}
+}
+
+// TestOutlivedAtAddress guards against an upstream that gets no flows for the rest of its run because another registration with a later start has its
+// address: that the own registration stands shows that the upstream runs.
+func TestOutlivedAtAddress(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	own := model.Registration{ID: "a", Boot: 100, Revision: 4, Number: 1, Service: "orders", Domain: "east", Address: address}
+	other := model.Registration{ID: "b", Boot: 200, Revision: 9, Number: 2, Service: "claims", Domain: "east", Address: address}
+	reuse := model.Registration{ID: "c", Boot: 300, Revision: 20, Number: 3, Service: "claims", Domain: "east", Address: address}
+	heartbeat := func(reg model.Registration, rev model.Revision) model.Registration {
+		reg.Revision = rev
+		return reg
+	}
+	cases := map[string]struct {
+		// before and after are the registrations listed until the own one has stood for ContestTime, and then.
+		before, after []model.Registration
+		// ended is set if the own run has ended at last.
+		ended bool
+	}{
+		"the own entry does not change":     {before: []model.Registration{own, other}, after: []model.Registration{own, other}},
+		"heartbeats of the upstream":        {before: []model.Registration{heartbeat(own, 10), other}, after: []model.Registration{heartbeat(own, 12), other}},
+		"heartbeats of the other":           {before: []model.Registration{own, heartbeat(other, 10)}, after: []model.Registration{own, heartbeat(other, 12)}},
+		"the other is removed":              {before: []model.Registration{own, other}, after: []model.Registration{own}},
+		"the own entry is removed":          {before: []model.Registration{other}, after: []model.Registration{other}, ended: true},
+		"a late heartbeat":                  {before: []model.Registration{other}, after: []model.Registration{heartbeat(own, 12), other}, ended: true},
+		"the address is used again at last": {before: []model.Registration{own, other}, after: []model.Registration{own, other, reuse}, ended: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.NameService("claims")
+			r.Sync(afterGrace, listing(own))
+			u := r.Get("a")
+			r.Sync(afterGrace, listing(own, other))
+			is.True(u.Replaced())
+			stood := afterGrace.Add(roster.ContestTime)
+			r.Sync(afterGrace, listing(tc.before...))
+			r.Confirm(stood, stood-1)
+			is.Equal(r.Get("a"), nil)
+			r.Confirm(stood, stood)
+			for n := range 3 {
+				r.Sync(stood.Add(time.Duration(n)*time.Second), listing(tc.after...))
+			}
+			is.Equal(u.Replaced(), tc.ended)
+			is.Equal(slices.Contains(r.ByService("orders"), u), !tc.ended)
+		})
+	}
+}
+
+// TestServiceNamedLater checks that a run ends the earlier one at its address once a configuration names its service, in either order.
+func TestServiceNamedLater(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	earlier := model.Registration{ID: "a", Boot: 100, Revision: 4, Number: 1, Service: "orders", Domain: "east", Address: address}
+	later := model.Registration{ID: "b", Boot: 200, Revision: 9, Number: 2, Service: "claims", Domain: "east", Address: address}
+	cases := map[string]func(*roster.Roster){
+		"named before it registers":  func(r *roster.Roster) { r.NameService("claims"); r.Sync(afterGrace, listing(earlier, later)) },
+		"named after it registers":   func(r *roster.Roster) { r.Sync(afterGrace, listing(earlier, later)); r.NameService("claims") },
+		"named after the other left": func(r *roster.Roster) { r.Sync(afterGrace, listing(later)); r.NameService("claims") },
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.Sync(0, listing(earlier))
+			u := r.Get("a")
+			steps(r)
+			r.Confirm(afterGrace, afterGrace)
+			is.True(u.Replaced())
+			is.Equal(r.Len(), 1)
+		})
+	}
+}
--- a/internal/core/roster/restore_test.go
+++ b/internal/core/roster/restore_test.go
@@ -93,6 +93,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
 			r.Sync(afterGrace, tc.first)
 			u := r.Get("a")
 			r.ExtendGrace(afterGrace.Add(roster.OutageGrace))
@@ -134,6 +135,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
 			r.Sync(0, listing(earlier))
 			u := r.Get("a")
 			r.Sync(afterGrace, listing())
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -39,7 +39,7 @@
 	services map[model.ServiceID][]*Upstream
 	// all holds the current runs of all services, in no particular order.
 	all []*Upstream
-	// addresses holds the current run with the latest start at each address.
+	// addresses holds the current run with the latest start at each address, of the named services.
 	addresses map[netip.AddrPort]*Upstream
 	// ended holds the runs in StateGone, oldest first.
 	ended []*Upstream
@@ -59,6 +59,10 @@
 	retainUntil model.Instant
 	// changes collects state changes until TakeStateChanges returns them for the log.
 	changes []StateChange
+	// named holds the services that a configuration has named. A registration of any other service names no upstream to use, so it ends no run.
+	named map[model.ServiceID]bool
+	// newlyNamed holds the services in named whose registrations have not been compared with other runs yet.
+	newlyNamed map[model.ServiceID]bool
 	// contests holds the registrations that contradict a known run, by ID; only those that the last listing contained.
 	contests map[model.UpstreamID]*contest
 	// refusals collects refused registrations until TakeRefusals returns them for the log.
@@ -85,6 +89,8 @@
 		addresses:   map[netip.AddrPort]*Upstream{},
 		outSince:    map[model.DomainID]model.Instant{},
 		retainedOut: map[model.DomainID]bool{},
+		named:       map[model.ServiceID]bool{},
+		newlyNamed:  map[model.ServiceID]bool{},
 		contests:    map[model.UpstreamID]*contest{},
 		graceUntil:  model.Instant(OutageGrace),
 	}
@@ -95,6 +101,14 @@
 	r.cfg.TagRetention = d
 }
 
+// NameService records that a configuration names a service. It stays named, as later configurations may leave its open flows where they are. The next
+// Confirm compares its registrations with other runs.
+func (r *Roster) NameService(id model.ServiceID) {
+	if !r.named[id] {
+		r.named[id], r.newlyNamed[id] = true, true
+	}
+}
+
 // Sync applies a complete listing. Upstreams that it does not contain are missing during the grace period, and gone after it.
 func (r *Roster) Sync(now model.Instant, list model.Listing[model.Registration]) {
 	r.hasUnreadable = len(list.Unreadable) > 0
@@ -140,6 +154,7 @@
 // have reappeared since.
 func (r *Roster) Confirm(now, confirmedAt model.Instant) {
 	r.confirmedAt = max(r.confirmedAt, confirmedAt)
+	r.compareNewlyNamed(now)
 	if confirmedAt >= r.retainUntil {
 		r.releaseOut()
 	}
@@ -290,9 +305,7 @@
 	}
 	draining := reg.Draining || r.hasDrained(reg)
 	if u == nil {
-		if u = r.insert(now, reg, era); u == nil {
-			return
-		}
+		u = r.insert(now, reg, era)
 	} else if reg.Revision != u.Revision {
 		u.ColdUntil = u.coldUntil(now, reg, era)
 	}
@@ -321,24 +334,15 @@
 	return u != nil && u.Draining
 }
 
-// insert adds a run of an upstream. A run that was gone from the registry and reappears keeps its load and its health. It returns nil if the run
-// is known to have been superseded at its address.
+// insert adds a run of an upstream. A run that was gone from the registry and reappears keeps its load and its health.
 func (r *Roster) insert(now model.Instant, reg *model.Registration, era model.Era) *Upstream {
 	u := &Upstream{Tag: routingTag(reg), Registration: *reg, ColdUntil: now.Add(reg.ColdFor)}
-	if old := r.tags[u.key()]; old != nil && old.ID == reg.ID && old.Boot == reg.Boot {
-		if old.superseded {
-			r.refuse(old, reg, CauseAddressReused)
-			return nil
-		}
-		if !old.replaced {
-			r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
-			old.ColdUntil = old.coldUntil(now, reg, era)
-			u = old
-		}
-	}
-	for _, e := range r.ended {
-		e.replaced = e.replaced || e.replacedBy(reg, era)
+	if old := r.run(reg); old != nil && !old.Replaced() {
+		r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
+		old.ColdUntil = old.coldUntil(now, reg, era)
+		u = old
 	}
+	r.replaceEnded(reg, era)
 	r.current[reg.ID] = u
 	list := r.services[reg.Service]
 	u.serviceIndex, u.allIndex = len(list), len(r.all)
@@ -348,10 +352,38 @@
 	return u
 }
 
-// supersede ends the earlier of two runs at the same address. The platform reuses an address only after its upstream has ended, but the
-// old registration may remain for seconds. Boot values come from the clocks of different machines, so a run counts as later only if its
+// replaceEnded marks the runs that were gone from the registry before a later run registered, which reg is of, under their ID or at their address.
+func (r *Roster) replaceEnded(reg *model.Registration, era model.Era) {
+	if !r.named[reg.Service] {
+		return
+	}
+	for _, e := range r.ended {
+		e.replaced = e.replaced || e.replacedBy(reg, era)
+	}
+}
+
+// compareNewlyNamed compares the runs of services that have become named with the other runs at their addresses and under their IDs.
+func (r *Roster) compareNewlyNamed(now model.Instant) {
+	if len(r.newlyNamed) == 0 {
+		return
+	}
+	runs := r.matching(func(u *Upstream) bool { return r.newlyNamed[u.Service] })
+	clear(r.newlyNamed)
+	for _, u := range runs {
+		if u.State != StateGone {
+			r.replaceEnded(&u.Registration, u.Era)
+			r.supersede(now, u)
+		}
+	}
+}
+
+// supersede ends the earlier of two runs of named services at the same address. The platform reuses an address only after its upstream has ended, but
+// the old registration may remain for seconds. Boot values come from the clocks of different machines, so a run counts as later only if its
 // registration was also written later, which the revisions of one era tell.
 func (r *Roster) supersede(now model.Instant, u *Upstream) {
+	if !r.named[u.Service] {
+		return
+	}
 	other := r.addresses[u.Address]
 	r.addresses[u.Address] = u
 	if other == nil || other == u || other.State == StateGone {
@@ -362,7 +394,7 @@
 		later, earlier = other, u
 	}
 	r.addresses[u.Address] = later
-	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.Era != later.Era || earlier.Revision >= later.Revision {
+	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.Era != later.Era || earlier.Revision >= later.Revision || earlier.outlived == later {
 		return
 	}
 	earlier.superseded = true
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -275,6 +275,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.NameService("claims")
 			r.Sync(afterGrace, listing(first))
 			// The registration of the ended upstream remains for some time.
 			for n := range 3 {
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -55,6 +55,9 @@
 	Health health.Tracker
 	// superseded is true once a later run uses the address, and replaced once there is a later run under the ID.
 	superseded, replaced bool
+	// outlived is a run with a later start at the address beside which the registration of this run has stood for ContestTime, so that it does not end
+	// this run; nil if there is none.
+	outlived *Upstream
 	// serviceIndex and allIndex are the positions in Roster.services and Roster.all while the run is current.
 	serviceIndex, allIndex int
 }
@@ -80,7 +83,15 @@
 	if u.Boot == 0 || reg.Boot <= u.Boot {
 		return false
 	}
-	return reg.ID == u.ID || (reg.Address == u.Address && era == u.Era && reg.Revision > u.Revision)
+	if reg.ID == u.ID {
+		return reg.Service == u.Service
+	}
+	return reg.Address == u.Address && era == u.Era && reg.Revision > u.Revision
+}
+
+// listedIn reports whether the run is known and was last listed in an era.
+func (u *Upstream) listedIn(era model.Era) bool {
+	return u != nil && u.Era == era
 }
 
 // isRun reports whether reg is the registration of this run.
--- a/internal/proof/direct/contest_test.go
+++ b/internal/proof/direct/contest_test.go
@@ -24,13 +24,8 @@
 // ways to the registration are taken: the lead reads the store, the others poll the lead or their reader, and an instance starts.
 func TestLateHeartbeatOfEarlierRun(t *testing.T) {
 	cases := map[string]func(*system){
-		"instances that run": func(*system) {},
-		"an instance of each failure domain starts": func(s *system) {
-			for _, p := range []*stage.Process{s.follower("east"), s.follower("west")} {
-				s.killAndStart(p)
-			}
-			s.check(s.AwaitReady(startTimeout))
-		},
+		"instances that run":                        func(*system) {},
+		"an instance of each failure domain starts": (*system).killFollowers,
 	}
 	for name, meanwhile := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -61,6 +56,65 @@
 	}
 }
 
+// TestForeignEntryAtAddress guards against flows that are reset, and an upstream that gets no new flows, because another writer registers a service that no
+// configuration names at the upstream's address. The order of its heartbeat and of the foreign entry must not matter.
+func TestForeignEntryAtAddress(t *testing.T) {
+	foreign := func(u *stand.Upstream) { u.RegisterForeign("i-00c0ffee01", "monitoring") }
+	cases := map[string]func(*system, *stand.Upstream){
+		"no heartbeat follows": func(_ *system, u *stand.Upstream) { foreign(u) },
+		"a heartbeat follows at once": func(_ *system, u *stand.Upstream) {
+			foreign(u)
+			u.Register()
+		},
+		"a heartbeat follows": func(_ *system, u *stand.Upstream) {
+			foreign(u)
+			time.Sleep(heartbeatTime)
+			u.Register()
+		},
+		"an instance of each failure domain starts": func(s *system, u *stand.Upstream) {
+			foreign(u)
+			s.killFollowers()
+		},
+		"all instances start": func(s *system, u *stand.Upstream) {
+			foreign(u)
+			s.restartAll()
+		},
+		"a configuration follows": func(s *system, u *stand.Upstream) {
+			foreign(u)
+			s.Store.Configure(2, feed, order, photo, stand.Route{Name: "new", Address: extraAddress, Service: "desk"})
+		},
+	}
+	for name, write := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t)
+			u := s.upstreams[0]
+			time.Sleep(steadyTime)
+			flows := s.openAt(u)
+			write(s, u)
+			s.checkOpen(u, flows)
+			from := time.Now()
+			s.load.ResetCounts()
+			time.Sleep(steadyTime)
+			s.checkOpen(u, flows)
+			if !u.LastOpening().After(from) {
+				t.Errorf("upstream %s gets no new flows", u.Name())
+			}
+			s.checkServed()
+			s.checkInvariants()
+		})
+	}
+}
+
+// killFollowers kills an instance of each failure domain that is not its reader, and starts it again.
+func (s *system) killFollowers() {
+	s.t.Helper()
+	for _, p := range []*stage.Process{s.follower("east"), s.follower("west")} {
+		s.killAndStart(p)
+	}
+	s.check(s.AwaitReady(startTimeout))
+}
+
 // openAt opens flows of each caller until flowsAtUpstream of them are open at the upstream, and returns these.
 func (s *system) openAt(u *stand.Upstream) (flows []*stand.Flow) {
 	s.t.Helper()
