Do not take an entry that cannot be of an upstream for another run of it

One without a start, of another service, or at another address with the same start is contested like a late heartbeat; new flows go to other upstreams meanwhile.

--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -22,7 +22,8 @@
 }
 
 // contested reports whether a registration contradicts what is known of its upstream, whose current run is u, and records it if it does. Such a
-// registration neither ends a run nor becomes one until it has stood for ContestTime.
+// registration neither ends a run nor becomes one until it has stood for ContestTime. One that names no upstream to use keeps new flows from u, as u
+// has no other registration.
 func (r *Roster) contested(now model.Instant, u *Upstream, reg *model.Registration, era model.Era) bool {
 	known, cause := r.contradicted(u, reg, era)
 	if known == nil {
@@ -35,17 +36,22 @@
 		r.refuse(known, reg, cause)
 	}
 	c.registration, c.era, c.cause = *reg, era, cause
+	if u != nil && cause == CauseOtherIdentity {
+		r.setState(now, u, StateUnreadable)
+	}
 	return true
 }
 
 // contradicted returns the known run that a registration contradicts, and why; nil if it contradicts none.
 func (r *Roster) contradicted(u *Upstream, reg *model.Registration, era model.Era) (*Upstream, Cause) {
 	switch {
-	case reg.Boot == 0:
-		return nil, 0
 	case u == nil:
 		return r.contradictedEnd(reg, era)
-	case !u.isRun(reg) && (reg.Boot < u.Boot || r.run(reg).listedIn(era)):
+	case u.isRun(reg) || r.corrects(reg, u):
+		return nil, 0
+	case u.difference(reg) == CauseOtherIdentity:
+		return u, CauseOtherIdentity
+	case reg.Boot < u.Boot || r.run(reg).listedIn(era):
 		// A run that was listed before u, in the same era, cannot have replaced it, whatever the clocks say.
 		return u, CauseEarlierRun
 	default:
@@ -53,8 +59,8 @@
 	}
 }
 
-// contradictedEnd is contradicted for an upstream without a current run: a registration may be of a run that was replaced, or of one from before a run
-// that has ended. Other runs may return. In another era, the store may have been restored from a copy from before the end.
+// contradictedEnd is contradicted for an upstream without a current run: a registration may be of a run that was replaced, of one from before a run that
+// has ended, or of another service than that. Other runs may return. In another era, the store may have been restored from a copy from before the end.
 func (r *Roster) contradictedEnd(reg *model.Registration, era model.Era) (*Upstream, Cause) {
 	seen := r.run(reg)
 	switch {
@@ -63,15 +69,31 @@
 		return seen, CauseAddressReused
 	case seen.replaced && seen.listedIn(era):
 		return seen, CauseEarlierRun
-	case !seen.replaced:
+	case seen.isRun(reg) && !seen.replaced:
 		return nil, 0
+	case !seen.replaced:
+		return seen, CauseOtherIdentity
+	}
+	if e := r.endedInstead(reg, era); e != nil {
+		return e, e.difference(reg)
 	}
+	return nil, 0
+}
+
+// endedInstead returns an ended run under the ID of a registration, listed in the same era, that started later or is of another service; nil if there
+// is none.
+func (r *Roster) endedInstead(reg *model.Registration, era model.Era) *Upstream {
 	for _, e := range r.ended {
-		if e.ID == reg.ID && e.Boot > reg.Boot && e.listedIn(era) {
-			return e, CauseEarlierRun
+		if e.ID == reg.ID && (e.Boot > reg.Boot || e.Service != reg.Service) && e.listedIn(era) && !r.corrects(reg, e) {
+			return e
 		}
 	}
-	return nil, 0
+	return nil
+}
+
+// corrects reports whether u comes from a registration that names no upstream to use, without a start or with a service that is not named, unlike reg.
+func (r *Roster) corrects(reg *model.Registration, u *Upstream) bool {
+	return (u.Boot == 0 && reg.Boot != 0) || (!r.named[u.Service] && r.named[reg.Service])
 }
 
 // settleContests applies the registrations that have stood for ContestTime according to a confirmation by the store. A run that one of them ends does
--- a/internal/core/roster/contest_test.go
+++ b/internal/core/roster/contest_test.go
@@ -349,3 +349,115 @@
 		})
 	}
 }
+
+// TestEntryUnderOwnID guards against flows that are reset or sent elsewhere, and requests that run at another service, because another writer overwrites
+// an upstream's registration by one that cannot be of it.
+func TestEntryUnderOwnID(t *testing.T) {
+	address, elsewhere := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
+	own := func(rev model.Revision) model.Registration {
+		reg := registration(presentBoot, rev)
+		reg.Address = address
+		return reg
+	}
+	entries := map[string]func(*model.Registration){
+		"no start":                          func(reg *model.Registration) { reg.Boot = 0 },
+		"another service":                   func(reg *model.Registration) { reg.Service = "claims" },
+		"another service without a start":   func(reg *model.Registration) { reg.Service, reg.Boot = "claims", 0 },
+		"another service, a later start":    func(reg *model.Registration) { reg.Service, reg.Boot = "claims", presentBoot+1 },
+		"another service, an earlier start": func(reg *model.Registration) { reg.Service, reg.Boot = "claims", presentBoot-1 },
+		"a service that is not named":       func(reg *model.Registration) { reg.Service, reg.Boot = "monitoring", presentBoot+1 },
+		"another address":                   func(reg *model.Registration) { reg.Address = elsewhere },
+		"another address without a start":   func(reg *model.Registration) { reg.Address, reg.Boot = elsewhere, 0 },
+	}
+	at, next := lateWrite, lateWrite.Add(time.Second)
+	steps := map[string]struct {
+		steps func(*roster.Roster, model.Registration)
+		state roster.State
+	}{
+		"listed": {steps: func(r *roster.Roster, odd model.Registration) { r.Sync(at, listing(odd)) }, state: roster.StateUnreadable},
+		"listed twice": {
+			steps: func(r *roster.Roster, odd model.Registration) { r.Sync(at, listing(odd)); r.Sync(next, listing(odd)) }, state: roster.StateUnreadable,
+		},
+		"a page of a list": {steps: func(r *roster.Roster, odd model.Registration) { r.Add(at, listing(odd).Items, 0) }, state: roster.StateUnreadable},
+		"overwritten by the upstream": {
+			steps: func(r *roster.Roster, odd model.Registration) {
+				r.Sync(at, listing(odd))
+				r.Sync(next, listing(own(10)))
+			}, state: roster.StateListed,
+		},
+		"removed": {
+			steps: func(r *roster.Roster, odd model.Registration) { r.Sync(at, listing(odd)); r.Sync(next, listing()) }, state: roster.StateGone,
+		},
+		"after the own one was lost": {
+			steps: func(r *roster.Roster, odd model.Registration) { r.Sync(at, listing()); r.Sync(next, listing(odd)) }, state: roster.StateGone,
+		},
+		"after the own one was lost, which then returns": {
+			steps: func(r *roster.Roster, odd model.Registration) {
+				r.Sync(at, listing())
+				r.Sync(next, listing(odd))
+				r.Sync(next, listing(own(10)))
+			},
+			state: roster.StateListed,
+		},
+		"it stands": {
+			steps: func(r *roster.Roster, odd model.Registration) {
+				r.Sync(at, listing(odd))
+				r.Confirm(at.Add(roster.ContestTime), at.Add(roster.ContestTime))
+			},
+			state: roster.StateGone,
+		},
+	}
+	for entry, change := range entries {
+		for name, tc := range steps {
+			t.Run(entry+"/"+name, func(t *testing.T) {
+				is := is.New(t)
+				r := roster.New(roster.Config{TagRetention: time.Minute})
+				r.NameService("orders")
+				r.NameService("claims")
+				r.Sync(afterGrace, listing(own(5)))
+				u := r.Get("a")
+				odd := own(9)
+				change(&odd)
+				tc.steps(r, odd)
+				is.True(!u.Replaced())
+				if name == "it stands" {
+					is.True(r.Get("a") != nil)
+					return
+				}
+				is.Equal(u.State, tc.state)
+				is.Equal(u.Address, address)
+				is.Equal(r.ByTag("orders", u.Tag), u)
+				is.Equal(r.Usable(u), tc.state == roster.StateListed)
+				is.Equal(len(r.ByService("claims")), 0)
+			})
+		}
+	}
+}
+
+// TestEntryUnderOwnIDAtStart checks that an instance that starts while another writer's entry is listed under an upstream's ID uses the upstream as soon
+// as its own registration is listed, if the entry names no upstream to use.
+func TestEntryUnderOwnIDAtStart(t *testing.T) {
+	cases := map[string]func(*model.Registration){
+		"no start":                    func(reg *model.Registration) { reg.Boot = 0 },
+		"another service, no start":   func(reg *model.Registration) { reg.Service, reg.Boot = "claims", 0 },
+		"a service that is not named": func(reg *model.Registration) { reg.Service = "monitoring" },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.NameService("claims")
+			odd := registration(presentBoot, 9)
+			change(&odd)
+			r.Add(0, listing(odd).Items, 0)
+			r.Sync(afterGrace, listing(registration(presentBoot, 10)))
+			u := r.Get("a")
+			is.Equal(u.Boot, presentBoot)
+			is.Equal(u.Service, model.ServiceID("orders"))
+			is.True(r.Usable(u))
+			r.Sync(lateWrite, listing(odd))
+			is.True(!u.Replaced())
+		})
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -295,12 +295,14 @@
 	return true
 }
 
-// apply applies a registration to the current run u, which is nil if there is none. A new run under a known ID ends the previous run.
+// apply applies a registration to the current run u, which is nil if there is none. A new run under a known ID ends the previous run, with all its flows
+// if it is a later run for certain.
 func (r *Roster) apply(now model.Instant, u *Upstream, reg *model.Registration, era model.Era) {
 	delete(r.contests, reg.ID)
 	if u != nil && !u.isRun(reg) {
-		u.replaced = true
-		r.end(now, u, u.difference(reg), reg)
+		cause := u.difference(reg)
+		u.replaced = cause == CauseLaterRun && u.Boot != 0
+		r.end(now, u, cause, reg)
 		u = nil
 	}
 	draining := reg.Draining || r.hasDrained(reg)
