Leave flows of an upstream that has restarted at its address to the upstream

Cause: the instance had placed the flow before the registry listed the restart, so its packets carried the tag of the earlier run; once the later run was listed, all flows with that tag counted as ended. Ruled out: the late write, which came 5 s later.

Change: a later run under the ID at the same address does not end the flows with the earlier tag. Their packets go to the process, which resets the flows that it does not hold; without an answer to probes they are reset as before.

--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -109,7 +109,7 @@
 		}
 		if known := r.run(&c.registration); known != nil {
 			// An upstream that ends no longer writes its registration, and one that lives has not ended.
-			known.superseded, known.replaced, known.outlived = false, false, r.addresses[known.Address]
+			known.superseded, known.replaced, known.inPlace, known.outlived = false, false, false, r.addresses[known.Address]
 		}
 		r.apply(now, nil, &c.registration, c.era)
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -295,13 +295,14 @@
 	return true
 }
 
-// apply applies a registration to the current run u, which is nil if there is none. A new run under a known ID ends the previous run, with all its flows
-// if it is a later run for certain.
+// apply applies a registration to the current run u, which is nil if there is none. A new run under a known ID ends the previous run.
 func (r *Roster) apply(now model.Instant, u *Upstream, reg *model.Registration, era model.Era) {
 	delete(r.contests, reg.ID)
 	if u != nil && !u.isRun(reg) {
 		cause := u.difference(reg)
-		u.replaced = cause == CauseLaterRun && u.Boot != 0
+		if cause == CauseLaterRun && u.Boot != 0 {
+			u.markReplaced(reg)
+		}
 		r.end(now, u, cause, reg)
 		u = nil
 	}
@@ -339,7 +340,7 @@
 // insert adds a run of an upstream. A run that was gone from the registry and reappears keeps its load and its health.
 func (r *Roster) insert(now model.Instant, reg *model.Registration, era model.Era) *Upstream {
 	u := &Upstream{Tag: routingTag(reg), Registration: *reg, ColdUntil: now.Add(reg.ColdFor)}
-	if old := r.run(reg); old != nil && !old.Replaced() {
+	if old := r.run(reg); old != nil && !old.superseded && !old.replaced {
 		r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
 		old.ColdUntil = old.coldUntil(now, reg, era)
 		u = old
@@ -360,7 +361,9 @@
 		return
 	}
 	for _, e := range r.ended {
-		e.replaced = e.replaced || e.replacedBy(reg, era)
+		if e.replacedBy(reg, era) {
+			e.markReplaced(reg)
+		}
 	}
 }
 
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -55,6 +55,9 @@
 	Health health.Tracker
 	// superseded is true once a later run uses the address, and replaced once there is a later run under the ID.
 	superseded, replaced bool
+	// inPlace is true if replaced is set and each later run under the ID has the same address. Flows that were opened there before the registry listed
+	// that run may be its own, though they carry the tag of this one.
+	inPlace bool
 	// outlived is a run with a later start at the address beside which the registration of this run has stood for ContestTime, so that it does not end
 	// this run; nil if there is none.
 	outlived *Upstream
@@ -111,9 +114,16 @@
 	}
 }
 
-// Replaced reports whether a later run has taken the ID or the address, so that this run has ended for certain.
+// markReplaced records that a later run has registered under the ID or at the address.
+func (u *Upstream) markReplaced(by *model.Registration) {
+	u.inPlace = by.ID == u.ID && by.Address == u.Address && (u.inPlace || !u.replaced)
+	u.replaced = true
+}
+
+// Replaced reports whether a later run has taken the ID at another address, or the address under another ID, so that this run has ended for certain, with
+// all flows that carry its tag. A later run under the ID at the address gets the packets of these flows: it resets those that it does not hold.
 func (u *Upstream) Replaced() bool {
-	return u.superseded || u.replaced
+	return u.superseded || (u.replaced && !u.inPlace)
 }
 
 // Ended reports whether the run has ended, with all its flows: it was replaced, or it is gone from the registry and does not answer probes at
