Soak: a refusal shows the removal of a route only at an instance that had known the route

The probe at 14.6 s was refused because the instance was at version 62 and had not heard of the route. The copy to which the store was restored at 15.5 s had the route (version 121); the removal was written again at 16.5 s (version 172).

Change: checkNoRollback asks for the version that was active at the refusal, from the instance's log. Only if that is below the version that added the route does the refusal not count; if the log does not tell, it counts as before. In its place, the versions that a process makes active are checked themselves: none may be below one before, which also finds a return that no probe meets.

--- a/internal/proof/soak/checks_test.go
+++ b/internal/proof/soak/checks_test.go
@@ -36,10 +36,15 @@
 	domainsOut map[string][]*interval
 	// added and removed hold when each route was added and removed, by address.
 	added, removed map[netip.AddrPort]time.Time
+	// addedIn holds the version of the configuration that added each route.
+	addedIn map[netip.AddrPort]uint64
 }
 
 func newChangeTimes() changeTimes {
-	return changeTimes{drained: map[string]time.Time{}, domainsOut: map[string][]*interval{}, added: map[netip.AddrPort]time.Time{}, removed: map[netip.AddrPort]time.Time{}}
+	return changeTimes{
+		drained: map[string]time.Time{}, domainsOut: map[string][]*interval{},
+		added: map[netip.AddrPort]time.Time{}, removed: map[netip.AddrPort]time.Time{}, addedIn: map[netip.AddrPort]uint64{},
+	}
 }
 
 // probe is the result of one attempt to open a flow to a route through one instance, which shows whether the instance serves the route.
@@ -305,26 +310,38 @@
 	}
 }
 
-// checkNoRollback checks that no process goes back to an older configuration: once it has served an added route or refused a removed one, it must
-// not revert.
+// checkNoRollback checks that no process goes back to an older configuration: once it has served an added route or refused a removed one that it knew, it
+// must not revert, and the versions that it makes active must not decrease.
 func (r *run) checkNoRollback() {
+	lists := map[string][]activation{}
+	for _, p := range r.Processes {
+		lists[p.Settings.Name] = activations(p.Log())
+		r.checkVersionOrder(p.Settings.Name, lists[p.Settings.Name])
+	}
 	for i, earlier := range r.probes {
 		for _, later := range r.probes[i+1:] {
-			if later.instance != earlier.instance || later.pid != earlier.pid || later.address != earlier.address {
-				continue
-			}
-			slack := rollbackSlack
-			if !r.faultLog.undisturbed(later.instance, earlier.at, later.at) {
-				slack = disturbedRollbackSlack
-			}
-			removed := r.changes.removed[later.address]
-			exists := removed.IsZero() || later.at.Add(deliveryTime).Before(removed)
-			if later.at.Sub(earlier.at) > slack && earlier.opened && later.refused && exists && r.injector.deskAvailable(later.at) {
-				r.addViolation("at %s: instance %s refused route %s, which it served %s before", r.timestamp(later.at), later.instance, later.address, later.at.Sub(earlier.at))
-			}
-			if later.at.Sub(earlier.at) > slack && earlier.refused && later.opened && !removed.IsZero() && earlier.at.After(removed) && r.injector.deskAvailable(earlier.at) {
-				r.addViolation("at %s: instance %s opened a flow to route %s, which it refused %s before", r.timestamp(later.at), later.instance, later.address, later.at.Sub(earlier.at))
+			if later.instance == earlier.instance && later.pid == earlier.pid && later.address == earlier.address {
+				r.checkProbePair(earlier, later, lists[later.instance])
 			}
 		}
 	}
 }
+
+// checkProbePair checks two probes of one route at one process, given the activations in the log of its instance.
+func (r *run) checkProbePair(earlier, later probe, list []activation) {
+	slack := rollbackSlack
+	if !r.faultLog.undisturbed(later.instance, earlier.at, later.at) {
+		slack = disturbedRollbackSlack
+	}
+	if later.at.Sub(earlier.at) <= slack {
+		return
+	}
+	removed := r.changes.removed[later.address]
+	exists := removed.IsZero() || later.at.Add(deliveryTime).Before(removed)
+	if earlier.opened && later.refused && exists && r.injector.deskAvailable(later.at) {
+		r.addViolation("at %s: instance %s refused route %s, which it served %s before", r.timestamp(later.at), later.instance, later.address, later.at.Sub(earlier.at))
+	}
+	if revertsRemoval(earlier, later, removed, r.changes.addedIn[later.address], list) && r.injector.deskAvailable(earlier.at) {
+		r.addViolation("at %s: instance %s opened a flow to route %s, which it refused %s before", r.timestamp(later.at), later.instance, later.address, later.at.Sub(earlier.at))
+	}
+}
--- a/internal/proof/soak/routefaults_test.go
+++ b/internal/proof/soak/routefaults_test.go
@@ -30,7 +30,7 @@
 	at := inj.configure()
 	inj.run.mu.Lock()
 	defer inj.run.mu.Unlock()
-	inj.changes.added[r.Address] = at
+	inj.changes.added[r.Address], inj.changes.addedIn[r.Address] = at, inj.version
 	return r.Address
 }
 
