--- a/internal/proof/direct/contest_test.go
+++ b/internal/proof/direct/contest_test.go
@@ -45,15 +45,7 @@
 			s.checkOpen(u, flows)
 			u.Register()
 			time.Sleep(heartbeatTime)
-			from := time.Now()
-			s.load.ResetCounts()
-			time.Sleep(steadyTime)
-			s.checkOpen(u, flows)
-			if !u.LastOpening().After(from) {
-				t.Errorf("upstream %s gets no new flows after its next heartbeat", u.Name())
-			}
-			s.checkServed()
-			s.checkInvariants()
+			s.checkInUse(u, flows)
 		})
 	}
 }
@@ -95,15 +87,7 @@
 			flows := s.openAt(u, feedAddress)
 			write(s, u)
 			s.checkOpen(u, flows)
-			from := time.Now()
-			s.load.ResetCounts()
-			time.Sleep(steadyTime)
-			s.checkOpen(u, flows)
-			if !u.LastOpening().After(from) {
-				t.Errorf("upstream %s gets no new flows", u.Name())
-			}
-			s.checkServed()
-			s.checkInvariants()
+			s.checkInUse(u, flows)
 		})
 	}
 }
@@ -139,15 +123,7 @@
 			}
 			// Requests that were sent while the upstreams were unknown are over by then.
 			time.Sleep(requestTimeout)
-			from := time.Now()
-			s.load.ResetCounts()
-			time.Sleep(steadyTime)
-			s.checkOpen(u, flows)
-			if !u.LastOpening().After(from) {
-				t.Errorf("upstream %s gets no new flows after its next heartbeat", u.Name())
-			}
-			s.checkServed()
-			s.checkInvariants()
+			s.checkInUse(u, flows)
 			for _, overwritten := range s.upstreams[4:] {
 				for id := range overwritten.Executions() {
 					if !strings.HasPrefix(id, "claims-") && !strings.HasPrefix(id, "open-") {
@@ -159,6 +135,20 @@
 	}
 }
 
+// checkInUse checks that flows that are open at an upstream are served, that it gets new ones, and that the load is served.
+func (s *system) checkInUse(u *stand.Upstream, flows []*stand.Flow) {
+	s.t.Helper()
+	from := time.Now()
+	s.load.ResetCounts()
+	time.Sleep(steadyTime)
+	s.checkOpen(u, flows)
+	if !u.LastOpening().After(from) {
+		s.t.Errorf("upstream %s gets no new flows", u.Name())
+	}
+	s.checkServed()
+	s.checkInvariants()
+}
+
 // killFollowers kills an instance of each failure domain that is not its reader, and starts it again.
 func (s *system) killFollowers() {
 	s.t.Helper()
