Roster: a file for replaced runs, a method for runs that are reinstated

Change: code that is moved within the package, one switch with a case for each outcome, a method. No behaviour changes.

--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -64,20 +64,20 @@
 func (r *Roster) contradictedEnd(reg *model.Registration, era model.Era) (*Upstream, Cause) {
 	seen := r.run(reg)
 	switch {
-	case seen == nil:
+	case seen == nil || (seen.replaced && !seen.superseded && !seen.listedIn(era)):
+		if e := r.endedInstead(reg, era); e != nil {
+			return e, e.difference(reg)
+		}
+		return nil, 0
 	case seen.superseded:
 		return seen, CauseAddressReused
-	case seen.replaced && seen.listedIn(era):
+	case seen.replaced:
 		return seen, CauseEarlierRun
-	case seen.isRun(reg) && !seen.replaced:
-		return nil, 0
-	case !seen.replaced:
+	case !seen.isRun(reg):
 		return seen, CauseOtherIdentity
+	default:
+		return nil, 0
 	}
-	if e := r.endedInstead(reg, era); e != nil {
-		return e, e.difference(reg)
-	}
-	return nil, 0
 }
 
 // endedInstead returns an ended run under the ID of a registration, listed in the same era, that started later or is of another service; nil if there
@@ -108,8 +108,7 @@
 			r.end(now, u, c.cause, &c.registration)
 		}
 		if known := r.run(&c.registration); known != nil {
-			// An upstream that ends no longer writes its registration, and one that lives has not ended.
-			known.superseded, known.replaced, known.inPlace, known.outlived = false, false, false, r.addresses[known.Address]
+			known.reinstate(r.addresses[known.Address])
 		}
 		r.apply(now, nil, &c.registration, c.era)
 	}
--- /dev/null
+++ b/internal/core/roster/replace.go
@@ -0,0 +1,69 @@
+package roster
+
+import "hawthorncourse/internal/core/model"
+
+// NameService records that a configuration names a service. It stays named, as later configurations may leave its open flows where they are. The next
+// Confirm compares its registrations with other runs.
+func (r *Roster) NameService(id model.ServiceID) {
+	if !r.named[id] {
+		r.named[id], r.newlyNamed[id] = true, true
+	}
+}
+
+// replaceEnded marks the runs that were gone from the registry before a later run registered, which reg is of, under their ID or at their address.
+func (r *Roster) replaceEnded(reg *model.Registration, era model.Era) {
+	if !r.named[reg.Service] {
+		return
+	}
+	for _, e := range r.ended {
+		if e.replacedBy(reg, era) {
+			e.markReplaced(reg)
+		}
+	}
+}
+
+// compareNewlyNamed compares the runs of services that have become named with the other runs at their addresses and under their IDs.
+func (r *Roster) compareNewlyNamed(now model.Instant) {
+	if len(r.newlyNamed) == 0 {
+		return
+	}
+	runs := r.matching(func(u *Upstream) bool { return r.newlyNamed[u.Service] })
+	clear(r.newlyNamed)
+	for _, u := range runs {
+		if u.State != StateGone {
+			r.replaceEnded(&u.Registration, u.Era)
+			r.supersede(now, u)
+		}
+	}
+}
+
+// supersede ends the earlier of two runs of named services at the same address. The platform reuses an address only after its upstream has ended, but
+// the old registration may remain for seconds. Boot values come from the clocks of different machines, so a run counts as later only if its
+// registration was also written later, which the revisions of one era tell.
+func (r *Roster) supersede(now model.Instant, u *Upstream) {
+	if !r.named[u.Service] {
+		return
+	}
+	other := r.addresses[u.Address]
+	r.addresses[u.Address] = u
+	if other == nil || other == u || other.State == StateGone {
+		return
+	}
+	later, earlier := u, other
+	if other.Boot > u.Boot {
+		later, earlier = other, u
+	}
+	r.addresses[u.Address] = later
+	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.Era != later.Era || earlier.Revision >= later.Revision || earlier.outlived == later {
+		return
+	}
+	earlier.superseded = true
+	r.end(now, earlier, CauseAddressReused, &later.Registration)
+}
+
+// end gives up an upstream because of a registration of another run.
+func (r *Roster) end(now model.Instant, u *Upstream, cause Cause, by *model.Registration) {
+	r.markGone(now, u)
+	change := &r.changes[len(r.changes)-1]
+	change.Cause, change.By = cause, *by
+}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -120,6 +120,12 @@
 	u.replaced = true
 }
 
+// reinstate records that the run has not ended, as its registration stands: that of a process that has ended is removed. The run at its address beside which
+// it stands, if any, does not end it again.
+func (u *Upstream) reinstate(beside *Upstream) {
+	u.superseded, u.replaced, u.inPlace, u.outlived = false, false, false, beside
+}
+
 // Replaced reports whether a later run has taken the ID at another address, or the address under another ID, so that this run has ended for certain, with
 // all flows that carry its tag. A later run under the ID at the address gets the packets of these flows: it resets those that it does not hold.
 func (u *Upstream) Replaced() bool {
