Log what speaks for and against the upstream of a flow that is reset

A reset did not say how old the probes behind it were, nor when its upstream last answered, and a flow whose packets went to another upstream left no trace.

Change: the line of a reset has failedProbes, probeAgeMs, answerAgeMs and replaced. A packet of an established flow whose tag names another upstream than before is counted (flow_forward_tag_changed_total) and logged (kind move). Decisions are as before.

TestRecordReset and TestTagChanged.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -287,9 +287,9 @@
 }
 
 // forward forwards a packet of an open flow.
-func (e *Engine) forward(up *roster.Upstream, seg *model.Segment) {
+func (e *Engine) forward(up *roster.Upstream, seg *model.Segment, reason model.Reason) {
 	e.actions = append(e.actions, Action{
-		Verb: model.VerbForward, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag, Ordered: seg.Size > 0 || seg.Fin, Seq: seg.Seq, Length: seg.Size,
+		Verb: model.VerbForward, Reason: reason, Flow: seg.Flow, Upstream: up, Raw: seg.Raw, Tag: seg.Tag, Ordered: seg.Size > 0 || seg.Fin, Seq: seg.Seq, Length: seg.Size,
 	})
 }
 
--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -79,6 +79,15 @@
 	f.up = up
 }
 
+// follow moves the flow to the upstream that the tag of its caller's packet names. It returns ReasonTagChanged if the flow was established at another.
+func (f *flow) follow(up *roster.Upstream) (reason model.Reason) {
+	if f.established && f.up != up {
+		reason = model.ReasonTagChanged
+	}
+	f.reassign(up)
+	return reason
+}
+
 // wasTried reports whether the SYN was sent to the upstream.
 func (f *flow) wasTried(up *roster.Upstream) bool {
 	for _, t := range f.tried {
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -57,14 +57,14 @@
 	}
 	if f == nil {
 		if !e.flows.Put(now, seg.Flow, flow{up: up}) {
-			e.forward(up, seg)
+			e.forward(up, seg, model.ReasonNone)
 			return
 		}
 		f = e.flows.Peek(seg.Flow)
 	}
-	f.reassign(up)
+	reason := f.follow(up)
 	e.observe(now, seg, f)
-	e.forward(up, seg)
+	e.forward(up, seg, reason)
 	if seg.Reset {
 		f.releaseLoad()
 		e.flows.Delete(seg.Flow)
--- a/internal/core/direct/tag_test.go
+++ b/internal/core/direct/tag_test.go
@@ -32,3 +32,13 @@
 	h.engine.Roster().Confirm(h.now, h.now.Add(-50*time.Millisecond))
 	h.Equal(h.data(1, feedAddress, 77).Reason, model.ReasonUpstreamGone)
 }
+
+// TestTagChanged checks that packets of an established flow whose tag names another upstream than before are counted as such.
+func TestTagChanged(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	ups := h.engine.Roster().ByService("desk")
+	h.Equal(h.data(1, feedAddress, ups[0].Tag).Reason, model.ReasonNone)
+	h.Equal(h.data(1, feedAddress, ups[0].Tag).Reason, model.ReasonNone)
+	h.Equal(h.data(1, feedAddress, ups[1].Tag).Reason, model.ReasonTagChanged)
+	h.Equal(h.data(1, feedAddress, ups[1].Tag).Reason, model.ReasonNone)
+}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -64,6 +64,8 @@
 	lastSuccess model.Instant
 	// pathDown is true if the upstream's whole failure domain was considered partitioned when its probes failed.
 	pathDown bool
+	// lastProbe is when the last probe finished; zero if none has since the last answer in a flow.
+	lastProbe model.Instant
 	// probing is true while a probe is in flight.
 	probing bool
 	// nextProbe is the earliest time of the next probe.
@@ -117,7 +119,7 @@
 // FinishProbe records the outcome of a probe. An answered probe proves that the path works, not that the upstream serves flows, so it
 // does not reset the backoff of probes; only RecordSuccess does.
 func (t *Tracker) FinishProbe(now model.Instant, outcome Outcome) {
-	t.probing = false
+	t.probing, t.lastProbe = false, now
 	t.probeInterval = min(max(t.probeInterval*probeIntervalGrowth, initialProbeInterval), maxProbeInterval)
 	t.nextProbe = now.Add(t.probeInterval)
 	switch outcome {
@@ -167,6 +169,21 @@
 	return t.timeouts
 }
 
+// FailedProbes returns the number of consecutive failed probes.
+func (t *Tracker) FailedProbes() int {
+	return t.probeFailures
+}
+
+// LastProbe returns when the last probe finished; zero if none has since the last answer in a flow.
+func (t *Tracker) LastProbe() model.Instant {
+	return t.lastProbe
+}
+
+// LastSuccess returns when an answer was last seen in a flow; zero if there was none.
+func (t *Tracker) LastSuccess() model.Instant {
+	return t.lastSuccess
+}
+
 // UnansweredFor returns the time since the first of the consecutive unanswered packets was sent; zero if there are none.
 func (t *Tracker) UnansweredFor(now model.Instant) time.Duration {
 	if t.timeouts == 0 {
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -106,6 +106,8 @@
 	ReasonEgressFull
 	// ReasonCopyQueued marks a retransmission of data that is still in that queue.
 	ReasonCopyQueued
+	// ReasonTagChanged marks a packet of an established flow whose tag names another upstream than the flow's earlier packets.
+	ReasonTagChanged
 	reasonCount
 )
 
@@ -156,6 +158,7 @@
 	ReasonHeldTooLong:         "held_too_long",
 	ReasonEgressFull:          "egress_full",
 	ReasonCopyQueued:          "copy_queued",
+	ReasonTagChanged:          "tag_changed",
 }
 
 // String returns the name of the reason as used in metrics and logs.
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -9,7 +9,7 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-// decisionsPerSecond bounds the log lines per second for each kind of decision on packets: with five kinds, logging takes less than 1 % of
+// decisionsPerSecond bounds the log lines per second for each kind of decision on packets: with six kinds, logging takes less than 1 % of
 // the smallest instance's processor time.
 const decisionsPerSecond = 20
 
@@ -24,6 +24,7 @@
 	kindReset  = "reset"
 	kindDrop   = "drop"
 	kindHold   = "hold"
+	kindMove   = "move"
 )
 
 // messages holds the log message of each kind of decision.
@@ -33,6 +34,7 @@
 	kindReset:  "A flow was reset.",
 	kindDrop:   "A packet was dropped.",
 	kindHold:   "A packet is held until it can be decided upon.",
+	kindMove:   "An open flow goes to another upstream, which the tag of its caller's packets names now.",
 }
 
 // recorder writes the rate-limited log of decisions and state changes; only the decision loop uses it.
@@ -51,6 +53,8 @@
 		return kindDrop
 	case a.Verb == model.VerbHold:
 		return kindHold
+	case a.Reason == model.ReasonTagChanged:
+		return kindMove
 	case a.Attempt == 1:
 		return kindPlace
 	case a.Attempt > 1:
@@ -85,11 +89,26 @@
 	if u := a.Upstream; u != nil {
 		addUpstream(fields, u)
 		fields["misses"], fields["silentMs"] = u.Health.Timeouts(), u.Health.UnansweredFor(now).Milliseconds()
+		if kind == kindReset {
+			addEvidence(fields, now, u)
+		}
 		fields["running"], fields["answerMs"] = u.Load.Running, u.Load.AnswerTime().Milliseconds()
 	}
 	r.recorder.log.WithAll(fields).Info(messages[kind])
 }
 
+// addEvidence adds what speaks for and against an upstream: failed probes and the ages of the last probe and of the last answer in a flow, as far as there
+// were any, and whether a later run has taken its place.
+func addEvidence(fields logs.Fields, now model.Instant, u *roster.Upstream) {
+	fields["failedProbes"], fields["replaced"] = u.Health.FailedProbes(), u.Replaced()
+	if at := u.Health.LastProbe(); at != 0 {
+		fields["probeAgeMs"] = now.Sub(at).Milliseconds()
+	}
+	if at := u.Health.LastSuccess(); at != 0 {
+		fields["answerAgeMs"] = now.Sub(at).Milliseconds()
+	}
+}
+
 // snapshotAge returns the time since the store last confirmed the current snapshot.
 func (r *Relay) snapshotAge(now model.Instant) time.Duration {
 	return now.Sub(model.Instant(r.confirmedAt.Load()))
--- a/internal/run/relay/record_test.go
+++ b/internal/run/relay/record_test.go
@@ -1,22 +1,30 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
 	"hawthorncourse/internal/base/count"
 	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/egress"
+	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
 
 func benchRelay(limit int) *Relay {
-	r := &Relay{cfg: Config{Instance: "east-1", LogsDropped: func() int64 { return 0 }}, log: logs.NewJSON(io.Discard, logrus.InfoLevel), counts: count.New()}
+	r := &Relay{
+		cfg: Config{Instance: "east-1", LogsDropped: func() int64 { return 0 }}, log: logs.NewJSON(io.Discard, logrus.InfoLevel),
+		counts: count.New(), egress: egress.New[outgoing](0),
+	}
 	r.recorder = recorder{log: r.logger("flow"), decisions: logs.Limiter{Limit: limit}}
 	return r
 }
@@ -37,3 +45,24 @@
 		})
 	}
 }
+
+// TestRecordReset checks that the log line of a reset holds what speaks for and against the upstream.
+func TestRecordReset(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	r := benchRelay(1)
+	r.log = logs.NewJSON(&out, logrus.InfoLevel)
+	r.recorder.log = r.logger("flow")
+	u := &roster.Upstream{State: roster.StateListed, Tag: 7}
+	second := model.Instant(time.Second)
+	u.Health.RecordSuccess(second)
+	u.Health.RecordTimeout(2 * second)
+	u.Health.StartProbe(2 * second)
+	u.Health.FinishProbe(3*second, health.OutcomeFailed)
+	r.record(5*second, &direct.Action{Verb: model.VerbReset, Reason: model.ReasonUpstreamUnreachable, Upstream: u})
+	var line map[string]any
+	is.NoErr(json.Unmarshal(out.Bytes(), &line))
+	for field, want := range map[string]any{"failedProbes": 1.0, "probeAgeMs": 2000.0, "answerAgeMs": 4000.0, "replaced": false} {
+		is.Equal(line[field], want)
+	}
+}
