Reset a flow without a route only if its route was certainly dropped

Cause: callers got a reset (route_removed) on an open flow whose upstream served. A packet of an open flow was reset at once if the route table lacked its address, whatever the age of the table. An instance that has not received a new route yet, or one that was removed and added again, gets flows that other instances opened when routers move flows. Ruled out: a SYN without a route, which is still reset at once, as its flow is not open.

Otherwise the packet is dropped after its holding time.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -144,11 +144,13 @@
 	ordinalUntil model.Instant
 	// unknownTags holds when each unknown tag was first seen.
 	unknownTags *recent.Table[unknownTag, model.Instant]
+	// unrouted holds when each open flow whose address has no route was first seen.
+	unrouted *recent.Table[model.FlowKey, model.Instant]
 	// activeProbes counts the running probes; at most probeLimit.
 	activeProbes int
 	// ready is set once routes, upstreams and failure domains are known.
 	ready bool
-	// held holds the packets that wait until the engine is ready or until their upstream is known; at most holdLimit.
+	// held holds the packets that wait until the engine is ready or until their route and their upstream are known; at most holdLimit.
 	held    []heldPacket
 	actions []Action
 	events  []Event
@@ -188,6 +190,7 @@
 		suspicions:    newSuspicions(),
 		cold:          coldLimiter{},
 		unknownTags:   recent.New[unknownTag, model.Instant](unknownTagLimit),
+		unrouted:      recent.New[model.FlowKey, model.Instant](unroutedLimit),
 	}
 }
 
@@ -277,6 +280,7 @@
 	e.cold.expire(now)
 	e.suspicions.expire(now)
 	e.unknownTags.Expire(now, unknownTagTTL, func(unknownTag, *model.Instant) {})
+	e.unrouted.Expire(now, unroutedTTL, func(model.FlowKey, *model.Instant) {})
 	e.flows.Expire(now, e.table.FlowIdle, func(_ model.FlowKey, f *flow) { f.releaseLoad() })
 	return e.actions
 }
--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -20,7 +20,7 @@
 	dataHoldTime = 500 * time.Millisecond
 )
 
-// heldPacket is a packet that waits until the instance is ready or until its upstream is known.
+// heldPacket is a packet that waits until the instance is ready or until its route and its upstream are known.
 type heldPacket struct {
 	at  model.Instant
 	seg model.Segment
@@ -63,7 +63,7 @@
 		switch {
 		case p.expired(now):
 			e.drop(&p.seg, nil, model.ReasonHeldTooLong)
-		case p.seg.Syn || !e.waitsForTag(&p.seg):
+		case p.seg.Syn || !e.waits(&p.seg):
 			e.dispatch(now, &p.seg)
 		default:
 			e.held = append(e.held, *p)
@@ -71,6 +71,14 @@
 	}
 }
 
+// waits reports whether a held packet still cannot be decided upon.
+func (e *Engine) waits(seg *model.Segment) bool {
+	if e.routes[seg.Flow.Service] == nil {
+		return e.waitsForRoute(seg)
+	}
+	return e.waitsForTag(seg)
+}
+
 // waitsForTag reports whether the upstream of a packet may be one that this instance does not know yet.
 func (e *Engine) waitsForTag(seg *model.Segment) bool {
 	r := e.routes[seg.Flow.Service]
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -34,7 +34,7 @@
 func (e *Engine) forwardOpen(now model.Instant, seg *model.Segment) {
 	r := e.routes[seg.Flow.Service]
 	if r == nil {
-		e.reset(seg, nil, model.ReasonRouteRemoved)
+		e.handleUnrouted(now, seg)
 		return
 	}
 	f := e.flows.Touch(now, seg.Flow)
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -108,6 +108,8 @@
 	ReasonCopyQueued
 	// ReasonTagChanged marks a packet of an established flow whose tag names another upstream than the flow's earlier packets.
 	ReasonTagChanged
+	// ReasonRouteUnknown means that the destination address of an open flow has no route at this instance, which may lack a newer configuration.
+	ReasonRouteUnknown
 	reasonCount
 )
 
@@ -159,6 +161,7 @@
 	ReasonEgressFull:          "egress_full",
 	ReasonCopyQueued:          "copy_queued",
 	ReasonTagChanged:          "tag_changed",
+	ReasonRouteUnknown:        "route_unknown",
 }
 
 // String returns the name of the reason as used in metrics and logs.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -159,6 +159,11 @@
 	r.settleContests(now, confirmedAt)
 }
 
+// Confirmed reports whether the store has confirmed since the given time, beyond a grace period, that the roster and the routes were current.
+func (r *Roster) Confirmed(since model.Instant) bool {
+	return r.confirmedAt > since && r.confirmedAt >= r.graceUntil
+}
+
 // Complete reports whether the roster knows the tag of every upstream that a flow of the given time can belong to: the store has confirmed the
 // roster since then, and without a gap for as long as a flow lives, and all registrations could be decoded. A roster that is younger may lack an
 // upstream that serves, as its registration may have expired before.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -300,3 +300,27 @@
 		})
 	}
 }
+
+// TestConfirmed guards against conclusions from a state of the store that is not known to be current: before a confirmation, or within a grace period.
+func TestConfirmed(t *testing.T) {
+	cases := map[string]struct {
+		confirmedAt, graceUntil time.Duration
+		want                    bool
+	}{
+		"never confirmed":               {graceUntil: 0},
+		"confirmed earlier":             {confirmedAt: 9 * time.Second},
+		"confirmed at the same time":    {confirmedAt: 10 * time.Second},
+		"confirmed later":               {confirmedAt: 11 * time.Second, want: true},
+		"confirmed in a grace period":   {confirmedAt: 11 * time.Second, graceUntil: 12 * time.Second},
+		"confirmed at its end":          {confirmedAt: 12 * time.Second, graceUntil: 12 * time.Second, want: true},
+		"grace period after the packet": {confirmedAt: 13 * time.Second, graceUntil: 12 * time.Second, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.ExtendGrace(model.Instant(tc.graceUntil))
+			r.Confirm(model.Instant(tc.confirmedAt), model.Instant(tc.confirmedAt))
+			is.New(t).Equal(r.Confirmed(model.Instant(10*time.Second)), tc.want)
+		})
+	}
+}
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -141,7 +141,7 @@
 		case model.VerbProbe:
 			r.probe(ctx, a.Upstream, a.Timeout)
 		case model.VerbHold:
-			if a.Reason == model.ReasonTagUnknown {
+			if a.Reason == model.ReasonTagUnknown || a.Reason == model.ReasonRouteUnknown {
 				r.requestRefresh()
 			}
 		}
