Keep an open flow at its upstream when a second one answers its SYN

Cause: packets of an open flow went to another upstream, which answers them with a reset, although the flow's own upstream served. A SYN that is unanswered for 20 to 100 ms, or that its caller repeats, also goes to a second upstream. If both answer, the flow opens at one of them, and a caller that echoes the last tag that it received sends later packets with the tag of the other; the instance followed that tag. The same if the instance sends a copy of the SYN to an upstream after another instance has opened the flow elsewhere. Ruled out: the first packet of a caller that got both answers before it; it does not show where the flow opens, and its tag decides as before.

Change: the upstreams that got the SYN are kept after the handshake if there is one besides the flow's own. Packets with their tags stay at the flow's upstream if their sequence number is within 1 MiB of the flow's; they carry its tag, so its next packets return the caller to it. Any other change of the tag is followed and counted as before (tag_changed): the port may be reused through another instance.

--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -11,7 +11,7 @@
 type flow struct {
 	// up is the upstream that the flow's packets go to; nil only before the first choice.
 	up *roster.Upstream
-	// tried holds every upstream that the SYN was sent to, in order.
+	// tried holds every upstream that the SYN was sent to, in order. It is nil once the flow is established if that is up alone.
 	tried []*roster.Upstream
 	// syn is the raw SYN; nil once the flow is established, or if this instance did not see the SYN.
 	syn []byte
@@ -82,12 +82,26 @@
 // follow moves the flow to the upstream that the tag of its caller's packet names. It returns ReasonTagChanged if the flow was established at another.
 func (f *flow) follow(up *roster.Upstream) (reason model.Reason) {
 	if f.established && f.up != up {
-		reason = model.ReasonTagChanged
+		reason, f.tried = model.ReasonTagChanged, nil
 	}
 	f.reassign(up)
 	return reason
 }
 
+// keeps reports whether a packet stays at the upstream of an established flow although its tag names another: that one got the same SYN, and its
+// answer reached the caller as well, which echoes the last tag that it has received.
+func (f *flow) keeps(up *roster.Upstream, seg *model.Segment) bool {
+	return f.established && f.wasTried(up) && f.isNear(seg.Seq)
+}
+
+// seqWindow is above the number of bytes that a caller sends within the time that a packet spends in the network.
+const seqWindow = 1 << 20
+
+// isNear reports whether a sequence number may be one of the flow; that of a later flow on the same port is most likely far away.
+func (f *flow) isNear(seq uint32) bool {
+	return seq-f.sentSeq+seqWindow <= 2*seqWindow
+}
+
 // wasTried reports whether the SYN was sent to the upstream.
 func (f *flow) wasTried(up *roster.Upstream) bool {
 	for _, t := range f.tried {
--- /dev/null
+++ b/internal/core/direct/open_test.go
@@ -0,0 +1,99 @@
+package direct_test
+
+import (
+	"testing"
+	"time"
+
+	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
+)
+
+// packet is a data packet of flow 1 of the route feed.
+func packet(tag model.RoutingTag, seq uint32) model.Segment {
+	return model.Segment{Flow: flowKey(1, feedAddress), HasAck: true, Tag: tag, Seq: seq, AckSeq: 1, Size: 100}
+}
+
+// retried sends a SYN that is unanswered so long that it is sent to another upstream, and returns both.
+func (h *harness) retried() (first, second *roster.Upstream) {
+	h.Helper()
+	first = h.syn(1, feedAddress, 0).Upstream
+	for range 20 {
+		for _, a := range h.advance(5 * time.Millisecond) {
+			if a.Verb == model.VerbForward {
+				return first, a.Upstream
+			}
+		}
+	}
+	h.Fail()
+	return nil, nil
+}
+
+// other returns an upstream that is none of the given ones.
+func (h *harness) other(known ...*roster.Upstream) *roster.Upstream {
+	for _, u := range h.engine.Roster().ByService("desk") {
+		found := false
+		for _, k := range known {
+			found = found || k == u
+		}
+		if !found {
+			return u
+		}
+	}
+	return nil
+}
+
+// goesTo checks that a packet is forwarded to an upstream.
+func (h *harness) goesTo(u *roster.Upstream, seg model.Segment) direct.Action {
+	h.Helper()
+	a := h.send(seg)
+	h.Equal(a.Verb, model.VerbForward)
+	h.Equal(a.Upstream, u)
+	return a
+}
+
+// TestTwoAnswers guards against packets of an open flow that go to another upstream, which got the SYN too and whose answer came later.
+func TestTwoAnswers(t *testing.T) {
+	cases := map[string]func(*harness){
+		"the first upstream answers first": func(h *harness) {
+			first, second := h.retried()
+			h.goesTo(first, packet(first.Tag, 1))
+			for seq := uint32(101); seq < 500; seq += 100 {
+				h.Equal(h.goesTo(first, packet(second.Tag, seq)).Reason, model.ReasonNone)
+			}
+			h.goesTo(first, packet(first.Tag, 501))
+		},
+		"the second upstream answers first": func(h *harness) {
+			first, second := h.retried()
+			h.goesTo(second, packet(second.Tag, 1))
+			h.Equal(h.goesTo(second, packet(first.Tag, 101)).Reason, model.ReasonNone)
+		},
+		"the caller's copy of the SYN is answered too": func(h *harness) {
+			first := h.syn(1, feedAddress, 0).Upstream
+			second := h.syn(1, feedAddress, 1).Upstream
+			h.goesTo(first, packet(first.Tag, 1))
+			h.goesTo(first, packet(second.Tag, 101))
+		},
+		"the flow was opened at an upstream of another instance's choice": func(h *harness) {
+			own := h.syn(1, feedAddress, 1).Upstream
+			opened := h.other(own)
+			h.goesTo(opened, packet(opened.Tag, 1))
+			h.Equal(h.goesTo(opened, packet(own.Tag, 101)).Reason, model.ReasonNone)
+		},
+		"a tag of an upstream that did not get the SYN is followed": func(h *harness) {
+			first, second := h.retried()
+			third := h.other(first, second)
+			h.goesTo(first, packet(first.Tag, 1))
+			h.Equal(h.goesTo(third, packet(third.Tag, 101)).Reason, model.ReasonTagChanged)
+			h.Equal(h.goesTo(second, packet(second.Tag, 201)).Reason, model.ReasonTagChanged)
+		},
+		"the tag of a reused port is followed": func(h *harness) {
+			first, second := h.retried()
+			h.goesTo(first, packet(first.Tag, 1))
+			h.Equal(h.goesTo(second, packet(second.Tag, 1<<30)).Reason, model.ReasonTagChanged)
+		},
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) { check(newHarness(t, threeUpstreams()...)) })
+	}
+}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -71,11 +71,16 @@
 	}
 }
 
-// resolve returns the upstream of a packet: by its tag among the services of its route, or from the flow's state if it has no tag.
+// resolve returns the upstream of a packet: by its tag among the services of its route, or from the flow's state if it has no tag or if the tag comes
+// from a second answer to the flow's SYN.
 func (e *Engine) resolve(r *route, f *flow, seg *model.Segment) *roster.Upstream {
 	if seg.Tag != 0 {
 		for _, service := range r.services {
-			if up := e.roster.ByTag(service, seg.Tag); up != nil {
+			up := e.roster.ByTag(service, seg.Tag)
+			if up != nil && f != nil && f.keeps(up, seg) {
+				return f.up
+			}
+			if up != nil {
 				return up
 			}
 		}
@@ -175,7 +180,10 @@
 			e.addSample(SampleHandshake, now.Sub(f.synAt))
 		}
 	}
-	f.syn, f.tried = nil, nil
+	f.syn = nil
+	if len(f.tried) == 1 && f.tried[0] == f.up {
+		f.tried = nil
+	}
 	f.sentSeq, f.ackSeq = seg.Seq, seg.AckSeq
 	f.addLoad()
 }
