Drop late copies of the SYN of an open flow

Cause: a copy of a SYN that arrived after the handshake counted as a reused port. The state of the open flow was discarded and the copy opened it a second time: at another upstream, whose answer makes a caller that echoes the last tag send its packets there, or, if no upstream takes new flows (all drain or are out of service), by a reset with no_upstream of a flow whose upstream serves. Ruled out: packets that carry the tag of the flow's own upstream, which went there all the while.

Change: a SYN within 3 s of the flow's, with a sequence number of up to 1 MiB behind that of its data, is a copy and is dropped (repeat); the state stays. The caller has an answer then. Any other SYN on the port of an open flow opens a new one, as before.

The case "a SYN on a reused port opens a new flow" of TestPacket sent two identical SYNs, of which the second is a copy on the wire. Its SYN has a sequence number of its own now, the checks are the same, TestReusedPort adds four cases, and a new case asks for the drop of the identical one.

Measured: on the code before, the 8 cases of TestLateSyn failed, 5 with "1 != 8" (forwarded to an upstream instead of dropped) and 3 with "9 != 8" (reset), and so did the new case of TestPacket. TestReusedPort passed before.

--- a/internal/core/direct/engine_test.go
+++ b/internal/core/direct/engine_test.go
@@ -444,11 +444,20 @@
 			first := h.syn(1, feedAddress, 0)
 			h.now = h.now.Add(7 * time.Millisecond)
 			h.data(1, feedAddress, first.Upstream.Tag)
-			a := h.syn(1, feedAddress, 0)
+			a := h.send(model.Segment{Flow: flowKey(1, feedAddress), Syn: true, Seq: 1 << 30})
 			h.Equal(a.Verb, model.VerbForward)
 			h.Equal(a.Reason, model.ReasonNone)
 			h.Equal(a.Attempt, 1)
 		},
+		"a SYN with the sequence number of the open flow is a copy and opens none": func(h *harness) {
+			first := h.syn(1, feedAddress, 0)
+			h.now = h.now.Add(7 * time.Millisecond)
+			h.data(1, feedAddress, first.Upstream.Tag)
+			a := h.syn(1, feedAddress, 0)
+			h.Equal(a.Verb, model.VerbDrop)
+			h.Equal(a.Reason, model.ReasonRepeat)
+			h.Equal(h.data(1, feedAddress, 0).Upstream, first.Upstream)
+		},
 	}
 	for name, check := range cases {
 		t.Run(name, func(t *testing.T) { check(newHarness(t, threeUpstreams()...)) })
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -64,6 +64,11 @@
 		return
 	}
 	f := e.flows.Touch(now, seg.Flow)
+	if f != nil && f.isCopy(now, seg) {
+		// The caller has an answer already. Another upstream would answer the copy, and the flow's own need not see it again.
+		e.drop(seg, f.up, model.ReasonRepeat)
+		return
+	}
 	if f != nil && (f.established || (seg.Retransmission == 0 && f.syn == nil)) {
 		// The caller's port is reused: the state belongs to an earlier flow.
 		f.releaseLoad()
--- a/internal/core/direct/open_test.go
+++ b/internal/core/direct/open_test.go
@@ -97,3 +97,95 @@
 		t.Run(name, func(t *testing.T) { check(newHarness(t, threeUpstreams()...)) })
 	}
 }
+
+// syn1 is a SYN of flow 1 of the route feed.
+func syn1(seq, retransmission uint32) model.Segment {
+	return model.Segment{Flow: flowKey(1, feedAddress), Syn: true, Seq: seq, Retransmission: retransmission}
+}
+
+// TestLateSyn guards against copies of the SYN of an open flow that end the flow or open it a second time.
+func TestLateSyn(t *testing.T) {
+	cases := map[string]struct {
+		retransmission uint32
+		// elsewhere is set if another instance has opened the flow; change runs after the flow was opened.
+		elsewhere bool
+		change    func(*harness, *roster.Upstream)
+	}{
+		"duplicate of the first":                {},
+		"later copy":                            {retransmission: 1},
+		"flow opened by another instance":       {retransmission: 1, elsewhere: true},
+		"duplicate, opened by another instance": {elsewhere: true},
+		"no upstream for new flows":             {retransmission: 1, change: (*harness).drainAll},
+		"duplicate, no upstream for new flows":  {change: (*harness).drainAll},
+		"upstream is out of service": {change: func(h *harness, _ *roster.Upstream) {
+			h.engine.Roster().SetOut(h.now, []model.DomainID{"east", "west"}, 0)
+		}},
+		"after the caller has sent much data": {retransmission: 2, change: (*harness).sendMuch},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, threeUpstreams()...)
+			up := h.engine.Roster().ByService("desk")[0]
+			if !tc.elsewhere {
+				up = h.send(syn1(0, 0)).Upstream
+			}
+			h.now = h.now.Add(8 * time.Millisecond)
+			h.goesTo(up, packet(up.Tag, 1))
+			if tc.change != nil {
+				tc.change(h, up)
+			}
+			h.now = h.now.Add(300 * time.Millisecond)
+			h.Equal(h.send(syn1(0, tc.retransmission)).Verb, model.VerbDrop)
+			h.Equal(len(h.advance(150*time.Millisecond)), 0)
+			for seq := uint32(101); seq < 500; seq += 100 {
+				h.goesTo(up, packet(up.Tag, seq))
+			}
+			h.goesTo(up, packet(0, 501))
+			h.Equal(up.Load.Flows, 1)
+		})
+	}
+}
+
+// drainAll lets all upstreams of the service drain.
+func (h *harness) drainAll(_ *roster.Upstream) {
+	var items []model.Registration
+	for _, r := range threeUpstreams() {
+		r.Draining, r.Revision = true, 9
+		items = append(items, r)
+	}
+	h.sync(items...)
+}
+
+// sendMuch sends several hundred KB on flow 1.
+func (h *harness) sendMuch(up *roster.Upstream) {
+	for seq := uint32(101); seq < 500_000; seq += 1200 {
+		h.goesTo(up, packet(up.Tag, seq))
+	}
+}
+
+// TestReusedPort checks that a SYN that is no copy of the open flow's opens a new flow.
+func TestReusedPort(t *testing.T) {
+	cases := map[string]struct {
+		seq, retransmission uint32
+		wait                time.Duration
+	}{
+		"another sequence number":                             {seq: 1 << 30},
+		"another sequence number, later copy":                 {seq: 1 << 30, retransmission: 1},
+		"sequence number ahead of the flow":                   {seq: 5000},
+		"the same sequence number, when no copy is under way": {wait: 4 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, threeUpstreams()...)
+			up := h.send(syn1(0, 0)).Upstream
+			h.now = h.now.Add(8 * time.Millisecond)
+			h.goesTo(up, packet(up.Tag, 1))
+			h.now = h.now.Add(tc.wait)
+			a := h.send(syn1(tc.seq, tc.retransmission))
+			h.Equal(a.Verb, model.VerbForward)
+			h.Equal(a.Reason, model.ReasonNone)
+			h.Equal(a.Attempt, 1)
+			h.Equal(up.Load.Flows, 0)
+		})
+	}
+}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if f == nil {
-		if !e.flows.Put(now, seg.Flow, flow{up: up}) {
+		if !e.flows.Put(now, seg.Flow, flow{up: up, synAt: now}) {
 			e.forward(up, seg, model.ReasonNone)
 			return
 		}
