Drop packets without a tag while several upstreams may have their flow

Cause: a packet without a routing tag goes to the upstream of its flow's state. While the flow is not established, that is the one that got the SYN last: if the first one has answered, the flow's packets go to another upstream, which answers them with a reset. Ruled out: established flows, whose upstream stays when the tag is missing, and flows whose SYN went to one upstream.

Change: such a packet is dropped (tag_missing) if the SYN went to more than one upstream, until a tag says which of them has answered. A reset by the caller still ends the flow.

Measured: 2 of the 5 cases of TestPacketWithoutTag failed on the code before, with "1 != 8" (forwarded instead of dropped); the case of the caller's reset was added after that run. All pass after, with internal/core/direct, internal/core/model and internal/oper/story.

--- a/internal/core/direct/open_test.go
+++ b/internal/core/direct/open_test.go
@@ -189,3 +189,44 @@
 		})
 	}
 }
+
+// TestPacketWithoutTag guards against packets without a tag that go to an upstream at which their flow may not be open.
+func TestPacketWithoutTag(t *testing.T) {
+	cases := map[string]func(*harness){
+		"to the only upstream that got the SYN": func(h *harness) {
+			up := h.syn(1, feedAddress, 0).Upstream
+			h.goesTo(up, packet(0, 1))
+			h.goesTo(up, packet(0, 101))
+		},
+		"to the upstream where the flow is established": func(h *harness) {
+			first, second := h.retried()
+			h.goesTo(first, packet(first.Tag, 1))
+			h.goesTo(first, packet(0, 101))
+			h.goesTo(first, packet(second.Tag, 201))
+			h.goesTo(first, packet(0, 301))
+		},
+		"dropped while two upstreams may answer": func(h *harness) {
+			first, _ := h.retried()
+			a := h.send(packet(0, 1))
+			h.Equal(a.Verb, model.VerbDrop)
+			h.Equal(a.Reason, model.ReasonTagMissing)
+			h.goesTo(first, packet(first.Tag, 1))
+			h.goesTo(first, packet(0, 101))
+		},
+		"a reset by the caller ends the flow": func(h *harness) {
+			_, second := h.retried()
+			h.goesTo(second, model.Segment{Flow: flowKey(1, feedAddress), Reset: true})
+			h.Equal(h.engine.FlowCount(), 0)
+		},
+		"dropped while the caller's copy may be answered": func(h *harness) {
+			h.syn(1, feedAddress, 0)
+			second := h.syn(1, feedAddress, 1).Upstream
+			h.Equal(h.send(packet(0, 1)).Verb, model.VerbDrop)
+			h.goesTo(second, packet(second.Tag, 1))
+			h.goesTo(second, packet(0, 101))
+		},
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) { check(newHarness(t, threeUpstreams()...)) })
+	}
+}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -72,7 +72,7 @@
 }
 
 // resolve returns the upstream of a packet: by its tag among the services of its route, or from the flow's state if it has no tag or if the tag comes
-// from a second answer to the flow's SYN.
+// from a second answer to the flow's SYN. It returns nil if that is an unknown tag, or if no tag says which of several upstreams has answered.
 func (e *Engine) resolve(r *route, f *flow, seg *model.Segment) *roster.Upstream {
 	if seg.Tag != 0 {
 		for _, service := range r.services {
@@ -86,7 +86,7 @@
 		}
 		return nil
 	}
-	if f != nil {
+	if f != nil && (f.established || seg.Reset || len(f.tried) < 2) {
 		return f.up
 	}
 	return nil
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -82,7 +82,7 @@
 	ReasonNotReady
 	// ReasonTagUnknown means that the packet's routing tag matches no known upstream of the route.
 	ReasonTagUnknown
-	// ReasonTagMissing means that the packet has no routing tag and its flow is unknown.
+	// ReasonTagMissing means that the packet has no routing tag, and its flow is unknown or may be open at one of several upstreams.
 	ReasonTagMissing
 	// ReasonUpstreamGone means that the upstream of the flow has ended.
 	ReasonUpstreamGone
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -157,7 +157,7 @@
 	model.ReasonTagUnknown.String():          "The packet's routing tag matched no upstream known for the route, so the packet was held until the registry was read again.",
 	model.ReasonRouteUnknown.String():        "The instance had no route for the address of the open flow, so the packet was held until the configuration was read again.",
 	model.ReasonHeldTooLong.String():         "The packet was held, as the instance was starting or did not know its route or upstream, and was dropped when it had waited too long.",
-	model.ReasonTagMissing.String():          "The packet carried no routing tag and the instance had not seen its flow open, so the packet was dropped.",
+	model.ReasonTagMissing.String():          "The packet carried no routing tag and the instance did not know where its flow was open, so the packet was dropped.",
 	model.ReasonNotReady.String():            "The instance had just started and had no platform data yet, so the packet was dropped.",
 	model.ReasonRetryBudget.String():         "The upstream did not answer the opening packet, and the retry budget for trying further upstreams was exhausted.",
 	model.ReasonStale.String():               "The instance was stalled for a second or more while the packet was queued, so the packet was dropped.",
