Drop a copy of a SYN that an earlier one may still be answered for

Cause: a copy of a SYN that no upstream may take by then (all drain, are out of service, gone from the registry, or cold with no share left) was answered by a reset with no_upstream, and the state of its flow was discarded, although the upstream of an earlier copy may answer that one. The answer crosses the copy or the reset, so the reset meets a flow that is open at an upstream that serves. A cold upstream is slow, so this instance asks for another one although it is about to answer. Ruled out: a first SYN that no upstream may take, which is still rejected at once.

Change: such a copy is dropped while an upstream that got an earlier one may answer: it has not ended, it answers this instance, and the last SYN was sent less than 3 s ago. The next copy is placed if an upstream may take it by then. Otherwise the copy is rejected at once, as before.

--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -87,14 +87,28 @@
 	}
 	up := e.choose(now, r, f)
 	if up == nil {
-		e.flows.Delete(seg.Flow)
-		e.reset(seg, nil, model.ReasonNoUpstream)
+		e.rejectSyn(now, seg, f)
 		return
 	}
 	f.syn = append(f.syn[:0], seg.Raw...)
 	e.sendSyn(now, seg.Flow, f, up, reason)
 }
 
+// rejectSyn handles a SYN that no upstream may take. A copy is only dropped while an upstream that got an earlier one may still answer it: the reset
+// would meet the open flow.
+func (e *Engine) rejectSyn(now model.Instant, seg *model.Segment, f *flow) {
+	if now.Sub(f.synAt) < synCopyTime {
+		for _, up := range f.tried {
+			if !up.Ended(now) && e.reachable(up) {
+				e.drop(seg, up, model.ReasonNoUpstream)
+				return
+			}
+		}
+	}
+	e.flows.Delete(seg.Flow)
+	e.reset(seg, nil, model.ReasonNoUpstream)
+}
+
 // sendSyn sends the SYN of a flow to an upstream and starts its timeout.
 func (e *Engine) sendSyn(now model.Instant, key model.FlowKey, f *flow, up *roster.Upstream, reason model.Reason) {
 	f.reassign(up)
