Keep an open flow at its upstream whatever another instance's copy brings

Cause: while routers move flows, a copy of a SYN, or a retry of it, goes out from another instance than the one that has the flow, to another upstream. If that one answers as well, the caller echoes its tag, and packets of the open flow went there, were held for an unknown tag, or were answered by a reset if that upstream had ended (upstream_gone) or did not answer (upstream_unreachable), although the flow's own upstream serves. Ruled out: copies that this instance has sent, which it knows (TestTwoAnswers).

Change: once the caller has acknowledged data in a packet with the tag of the flow's upstream, packets within 1 MiB of the flow's sequence numbers stay there whatever their tag. Before that, and for other sequence numbers (a reused port), the tag is followed and counted as before (tag_changed).

--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -19,6 +19,8 @@
 	synAt model.Instant
 	// established is set once a packet of the caller shows that it has received a packet from up.
 	established bool
+	// answered is set once the caller has acknowledged data in a packet with the tag of up, which shows that the flow is open there.
+	answered bool
 	// counted is set while the flow is included in the load of up.
 	counted bool
 	// requestAt is when the last byte of the unanswered request was sent to up; zero if there is none.
@@ -82,16 +84,17 @@
 // follow moves the flow to the upstream that the tag of its caller's packet names. It returns ReasonTagChanged if the flow was established at another.
 func (f *flow) follow(up *roster.Upstream) (reason model.Reason) {
 	if f.established && f.up != up {
-		reason, f.tried = model.ReasonTagChanged, nil
+		reason, f.tried, f.answered = model.ReasonTagChanged, nil, false
 	}
 	f.reassign(up)
 	return reason
 }
 
-// keeps reports whether a packet stays at the upstream of an established flow although its tag names another: that one got the same SYN, and its
-// answer reached the caller as well, which echoes the last tag that it has received.
-func (f *flow) keeps(up *roster.Upstream, seg *model.Segment) bool {
-	return f.established && f.wasTried(up) && f.isNear(seg.Seq)
+// keeps reports whether a packet stays at the upstream of an established flow whatever its tag. A caller echoes the last tag that it has received, so it
+// may be that of another upstream which has answered a copy of the SYN. That is the case if this instance has sent the SYN there, or if
+// the flow's own upstream is known to have answered; any other tag may be that of a flow on a reused port.
+func (f *flow) keeps(seg *model.Segment) bool {
+	return f.established && f.isNear(seg.Seq) && (f.answered || f.wasTriedTag(seg.Tag))
 }
 
 // seqWindow is above the number of bytes that a caller sends within the time that a packet spends in the network.
@@ -120,6 +123,16 @@
 	return false
 }
 
+// wasTriedTag reports whether the SYN was sent to the upstream with the tag.
+func (f *flow) wasTriedTag(tag model.RoutingTag) bool {
+	for _, t := range f.tried {
+		if t.Tag == tag {
+			return true
+		}
+	}
+	return false
+}
+
 // retransmitAfter is below the time after which callers retransmit data (200 ms); old data that arrives sooner was reordered in the network.
 const retransmitAfter = 150 * time.Millisecond
 
--- a/internal/core/direct/open_test.go
+++ b/internal/core/direct/open_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthorncourse/internal/core/direct"
+	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
@@ -98,6 +99,62 @@
 	}
 }
 
+// TestTagOfOtherInstance guards against packets of an open flow that go to another upstream, or end the flow, since another instance has sent a copy
+// of its SYN there.
+func TestTagOfOtherInstance(t *testing.T) {
+	answered := func(h *harness, up *roster.Upstream) {
+		h.goesTo(up, packet(up.Tag, 1))
+		seg := packet(up.Tag, 101)
+		seg.AckSeq = 900
+		h.goesTo(up, seg)
+	}
+	cases := map[string]func(h *harness, up, other *roster.Upstream){
+		"it serves": func(*harness, *roster.Upstream, *roster.Upstream) {},
+		"it has ended": func(h *harness, _, other *roster.Upstream) {
+			h.sync(registration(1, "east"))
+			h.failProbesOf(other)
+		},
+		"it is unreachable": func(h *harness, _, other *roster.Upstream) { h.makeUnreachable(other) },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, threeUpstreams()...)
+			up, other := h.engine.Roster().ByService("desk")[0], h.engine.Roster().ByService("desk")[1]
+			answered(h, up)
+			change(h, up, other)
+			h.Equal(h.goesTo(up, packet(other.Tag, 201)).Reason, model.ReasonNone)
+			h.goesTo(up, packet(up.Tag, 301))
+		})
+	}
+	t.Run("it is unknown", func(t *testing.T) {
+		h := newHarness(t, threeUpstreams()...)
+		up := h.engine.Roster().ByService("desk")[0]
+		answered(h, up)
+		h.goesTo(up, packet(12345, 201))
+	})
+	t.Run("the flow is not known to be answered", func(t *testing.T) {
+		h := newHarness(t, threeUpstreams()...)
+		up, other := h.engine.Roster().ByService("desk")[0], h.engine.Roster().ByService("desk")[1]
+		h.goesTo(up, packet(up.Tag, 1))
+		h.Equal(h.goesTo(other, packet(other.Tag, 101)).Reason, model.ReasonTagChanged)
+	})
+	t.Run("the port is reused", func(t *testing.T) {
+		h := newHarness(t, threeUpstreams()...)
+		up, other := h.engine.Roster().ByService("desk")[0], h.engine.Roster().ByService("desk")[1]
+		answered(h, up)
+		h.Equal(h.goesTo(other, packet(other.Tag, 1<<30)).Reason, model.ReasonTagChanged)
+	})
+}
+
+// failProbesOf fails three probes of an upstream.
+func (h *harness) failProbesOf(u *roster.Upstream) {
+	for range 3 {
+		u.Health.StartProbe(h.now)
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.engine.FinishProbe(h.now, u, health.OutcomeFailed)
+	}
+}
+
 // syn1 is a SYN of flow 1 of the route feed.
 func syn1(seq, retransmission uint32) model.Segment {
 	return model.Segment{Flow: flowKey(1, feedAddress), Syn: true, Seq: seq, Retransmission: retransmission}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -71,16 +71,16 @@
 	}
 }
 
-// resolve returns the upstream of a packet: by its tag among the services of its route, or from the flow's state if it has no tag or if the tag comes
-// from a second answer to the flow's SYN. It returns nil if that is an unknown tag, or if no tag says which of several upstreams has answered.
+// resolve returns the upstream of a packet: by its tag among the services of its route, or from the flow's state if it has no tag or if the tag may
+// come from a second answer to the flow's SYN. It returns nil if that is an unknown tag, or if no tag says which of several upstreams has answered.
 func (e *Engine) resolve(r *route, f *flow, seg *model.Segment) *roster.Upstream {
-	if seg.Tag != 0 {
+	tag := seg.Tag
+	if f != nil && f.keeps(seg) {
+		tag = f.up.Tag
+	}
+	if tag != 0 {
 		for _, service := range r.services {
-			up := e.roster.ByTag(service, seg.Tag)
-			if up != nil && f != nil && f.keeps(up, seg) {
-				return f.up
-			}
-			if up != nil {
+			if up := e.roster.ByTag(service, tag); up != nil {
 				return up
 			}
 		}
@@ -147,6 +147,7 @@
 	}
 	if seg.HasAck && seqAfter(seg.AckSeq, f.ackSeq) {
 		f.ackSeq = seg.AckSeq
+		f.answered = f.answered || seg.Tag == f.up.Tag
 		e.recordProgress(now, f)
 		if f.requestAt != 0 {
 			e.addSample(SampleAnswer, now.Sub(f.requestAt))
