Reset flows on failed probes only while the failures are recent

Cause: callers of idempotent flows got a reset (upstream_unreachable) although their upstream served. Three failed probes counted until the next answer, however long ago they were. Probes stop while other probes take all slots, or while an upstream is gone from the registry and has no flows; the next packet was then answered with a reset without asking the upstream. The verdict on upstreams that are gone (ConfirmedUnreachable) had an age, but each inconclusive probe renewed it. Ruled out: flows that wait for an answer when a probe fails, since that probe is recent.

Change: one rule for both. A verdict lasts two intervals from the last failed probe, the second interval being the longest, so that a regular next probe ends before. An answer in a partitioned failure domain ends the verdicts on its other upstreams, as it did for those that are gone. After that, a packet is forwarded and a probe is started. While probes fail regularly, resets are as quick as before. Unreachable takes the time, so TestTracker passes it; its expectations are the same, and it checks ConfirmedUnreachable as well.

TestVerdictAge is new.

--- a/internal/core/direct/engine_test.go
+++ b/internal/core/direct/engine_test.go
@@ -101,6 +101,24 @@
 	return h.send(model.Segment{Flow: flowKey(port, to), HasAck: true, Tag: tag, Seq: 1, AckSeq: 1, Size: 100})
 }
 
+// awaitProbe waits until a probe of an upstream is started.
+func (h *harness) awaitProbe(u *roster.Upstream) {
+	h.Helper()
+	started := false
+	for end := h.now.Add(2 * time.Second); !started && h.now < end; {
+		started = slices.ContainsFunc(h.advance(5*time.Millisecond), func(a direct.Action) bool { return a.Verb == model.VerbProbe && a.Upstream == u })
+	}
+	h.True(started)
+}
+
+// failProbe fails the next probe of an upstream.
+func (h *harness) failProbe(u *roster.Upstream) {
+	h.Helper()
+	h.awaitProbe(u)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.engine.FinishProbe(h.now, u, health.OutcomeFailed)
+}
+
 // failProbes fails the probe of an upstream that is running, and the next two.
 func (h *harness) failProbes(u *roster.Upstream) {
 	h.Helper()
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -50,10 +50,13 @@
 	case up.State == roster.StateGone:
 		// It is probed only while it has flows here, so an earlier failure may be out of date.
 		e.startProbe(now, up)
-	case seg.Size > 0 && r.Kind == model.RouteIdempotent && up.Health.Unreachable(f.isRetransmission(now, seg)) && !e.cfg.Disabled.Resets:
+	case e.repeatable(r, seg) && up.Health.Unreachable(now, f.isRetransmission(now, seg)):
 		// The caller may safely repeat its request, and a new flow is sent to a reachable upstream.
 		e.terminate(seg, f, up, model.ReasonUpstreamUnreachable)
 		return
+	case up.Health.FailedProbes() > 0:
+		// The failures may be out of date, too.
+		e.startProbe(now, up)
 	}
 	if f == nil {
 		if !e.flows.Put(now, seg.Flow, flow{up: up, synAt: now}) {
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// repeatable reports whether a flow may be reset at a packet because its upstream is unreachable: its caller repeats an idempotent request.
+func (e *Engine) repeatable(r *route, seg *model.Segment) bool {
+	return seg.Size > 0 && r.Kind == model.RouteIdempotent && !e.cfg.Disabled.Resets
+}
+
 // startProbe requests a probe of an upstream if one is due and fewer than probeLimit are running.
 func (e *Engine) startProbe(now model.Instant, u *roster.Upstream) {
 	if !u.Replaced() && e.activeProbes < probeLimit && u.Health.StartProbe(now) {
@@ -94,7 +99,7 @@
 func (e *Engine) FinishProbe(now model.Instant, u *roster.Upstream, outcome health.Outcome) []Action {
 	e.actions = e.actions[:0]
 	e.recordProbe(now, u, outcome)
-	if outcome == health.OutcomeFailed && u.Health.Unreachable(true) {
+	if outcome == health.OutcomeFailed && u.Health.Unreachable(now, true) {
 		e.resetWaitingFlows(u)
 	}
 	return e.actions
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -70,6 +70,9 @@
 	probing bool
 	// nextProbe is the earliest time of the next probe.
 	nextProbe model.Instant
+	// verdictUntil is until when the last failed probe counts for open flows: two intervals, of which the second may be the longest. It is zero
+	// if no probe has failed since the path to the failure domain was last known to work.
+	verdictUntil model.Instant
 	// probeInterval is the current backoff between probes.
 	probeInterval time.Duration
 }
@@ -128,13 +131,15 @@
 	case OutcomeFailed:
 		if t.timeouts > 0 || t.probeFailures > 0 {
 			t.probeFailures++
+			t.verdictUntil = t.nextProbe.Add(maxProbeInterval)
 		}
 	}
 }
 
-// ExpediteProbe allows the next probe to start immediately.
+// ExpediteProbe allows the next probe to start immediately, as the path to the failure domain works again. Earlier failures may be due to the path, so
+// they do not count for open flows until the next one.
 func (t *Tracker) ExpediteProbe() {
-	t.nextProbe = 0
+	t.nextProbe, t.verdictUntil = 0, 0
 }
 
 // Ejected reports whether the upstream must not get new flows.
@@ -143,14 +148,15 @@
 }
 
 // Unreachable reports whether so many consecutive probes have failed that an open flow has a better chance at another upstream;
-// unanswered states whether the flow itself is waiting for an answer.
-func (t *Tracker) Unreachable(unanswered bool) bool {
-	return t.probeFailures >= certainFailures || (unanswered && t.probeFailures >= likelyFailures)
+// unanswered states whether the flow itself is waiting for an answer. The last of them must have failed within the last two intervals: the upstream
+// may answer again, and no probe has asked it since.
+func (t *Tracker) Unreachable(now model.Instant, unanswered bool) bool {
+	return now < t.verdictUntil && (t.probeFailures >= certainFailures || (unanswered && t.probeFailures >= likelyFailures))
 }
 
-// ConfirmedUnreachable reports whether the upstream is unreachable for all flows, according to a probe of the last two intervals.
+// ConfirmedUnreachable reports whether the upstream is unreachable for all flows.
 func (t *Tracker) ConfirmedUnreachable(now model.Instant) bool {
-	return t.Unreachable(false) && now < t.nextProbe.Add(maxProbeInterval)
+	return t.Unreachable(now, false)
 }
 
 // MarkPathDown records that the upstream's whole failure domain is considered partitioned, so that the failed probes do not show that the
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -19,7 +19,7 @@
 	cases := map[string]struct {
 		steps   func(*health.Tracker)
 		ejected bool
-		// likely is the result of Unreachable for a flow without an answer, certain that for all other flows.
+		// likely is the result of Unreachable at 1100 ms for a flow without an answer, certain that for all other flows.
 		likely, certain bool
 	}{
 		"zero value": {steps: func(*health.Tracker) {}},
@@ -99,8 +99,54 @@
 			var tr health.Tracker
 			tc.steps(&tr)
 			is.Equal(tr.Ejected(), tc.ejected)
-			is.Equal(tr.Unreachable(true), tc.likely)
-			is.Equal(tr.Unreachable(false), tc.certain)
+			is.Equal(tr.Unreachable(at(1100), true), tc.likely)
+			is.Equal(tr.Unreachable(at(1100), false), tc.certain)
+			is.Equal(tr.ConfirmedUnreachable(at(1100)), tc.certain)
+		})
+	}
+}
+
+// TestVerdictAge checks how long failed probes count for open flows: while the next probe may still fail, and not after that.
+func TestVerdictAge(t *testing.T) {
+	const recent, old = 1100, 1300
+	cases := map[string]struct {
+		steps func(*health.Tracker)
+		// recent and old are the results of Unreachable 1100 and 1300 ms after the third failed probe, whose interval is 200 ms.
+		recent, old bool
+	}{
+		"no probe since":             {steps: func(*health.Tracker) {}, recent: true},
+		"a probe that has not ended": {steps: func(tr *health.Tracker) { tr.StartProbe(at(1900)) }, recent: true},
+		"an inconclusive probe": {
+			steps: func(tr *health.Tracker) {
+				tr.StartProbe(at(1900))
+				tr.FinishProbe(at(2000), health.OutcomeInconclusive)
+			},
+			recent: true,
+		},
+		"another failed probe": {
+			steps:  func(tr *health.Tracker) { tr.StartProbe(at(1900)); tr.FinishProbe(at(2000), health.OutcomeFailed) },
+			recent: true, old: true,
+		},
+		"an answered probe": {
+			steps: func(tr *health.Tracker) { tr.StartProbe(at(1900)); tr.FinishProbe(at(2000), health.OutcomeAnswered) },
+		},
+		"an answer in a flow":     {steps: func(tr *health.Tracker) { tr.RecordSuccess(at(2000)) }},
+		"an answer in the domain": {steps: func(tr *health.Tracker) { tr.ExpediteProbe() }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var tr health.Tracker
+			tr.RecordTimeout(at(10))
+			for _, ms := range []int{500, 700, 1000} {
+				is.True(tr.StartProbe(at(ms - 100)))
+				tr.FinishProbe(at(ms), health.OutcomeFailed)
+			}
+			tc.steps(&tr)
+			is.Equal(tr.Unreachable(at(1000+recent), false), tc.recent)
+			is.Equal(tr.ConfirmedUnreachable(at(1000+recent)), tc.recent)
+			is.Equal(tr.Unreachable(at(1000+old), true), tc.old)
+			is.Equal(tr.Unreachable(at(1000+old), false), tc.old)
 		})
 	}
 }
