Start the probes that are due in the order in which they became due

Cause: with more upstreams that do not answer than the 8 probe slots can cover (about 48 at 200 ms a probe), the last ones in the order of the roster were never probed, so that their recovery was not noticed and their flows were ended by old failures. Packets took free slots before the probes that waited. Ruled out: the backoff, which is one second at most.

Change: when more probes are due than slots are free, those that have been due longest come first, then by ID; upstreams that are gone from the registry and have flows are in the same order. While any waits, a packet or a suspicion starts none out of turn, and a slot that becomes free is used at once rather than at the next tick. The search for the next one sorts nothing and allocates nothing. The sample of a partitioned domain is kept up after the probes that were due before. An answer in a partitioned domain makes the probes of its other upstreams due from then on, not since ever.

--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -148,6 +148,8 @@
 	unrouted *recent.Table[model.FlowKey, model.Instant]
 	// activeProbes counts the running probes; at most probeLimit.
 	activeProbes int
+	// probesWaiting is set while probes that are due wait for others to finish. All that start meanwhile are started by startDueProbes, in order.
+	probesWaiting bool
 	// ready is set once routes, upstreams and failure domains are known.
 	ready bool
 	// held holds the packets that wait until the engine is ready or until their route and their upstream are known; at most holdLimit.
@@ -277,6 +279,7 @@
 	e.expireHeld(now)
 	e.roster.ExpireTags(now)
 	e.startDueProbes(now)
+	e.sampleDomains(now)
 	e.cold.expire(now)
 	e.suspicions.expire(now)
 	e.unknownTags.Expire(now, unknownTagTTL, func(unknownTag, *model.Instant) {})
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"hawthorncourse/internal/core/health"
@@ -76,7 +75,7 @@
 	e.addEvent(Event{Kind: EventDomainReachable, Domain: id})
 	for _, u := range e.roster.All() {
 		if u.Domain == id {
-			u.Health.ExpediteProbe()
+			u.Health.ExpediteProbe(now)
 		}
 	}
 }
@@ -86,9 +85,13 @@
 	return seg.Size > 0 && r.Kind == model.RouteIdempotent && !e.cfg.Disabled.Resets
 }
 
-// startProbe requests a probe of an upstream if one is due and fewer than probeLimit are running.
+// startProbe requests a probe of an upstream if one is due. If probeLimit are running or others wait, it has to wait, too.
 func (e *Engine) startProbe(now model.Instant, u *roster.Upstream) {
-	if !u.Replaced() && e.activeProbes < probeLimit && u.Health.StartProbe(now) {
+	if _, due := u.Health.ProbeDue(now); !due || u.Replaced() {
+		return
+	}
+	e.probesWaiting = e.probesWaiting || e.activeProbes >= probeLimit
+	if !e.probesWaiting && u.Health.StartProbe(now) {
 		e.activeProbes++
 		e.actions = append(e.actions, Action{Verb: model.VerbProbe, Upstream: u, Timeout: u.Health.ProbeTimeout()})
 	}
@@ -102,6 +105,9 @@
 	if outcome == health.OutcomeFailed && u.Health.Unreachable(now, true) {
 		e.resetWaitingFlows(u)
 	}
+	if e.probesWaiting {
+		e.startDueProbes(now)
+	}
 	return e.actions
 }
 
@@ -208,23 +214,56 @@
 	}
 }
 
-// startDueProbes starts the probes that are due, so that recovery is noticed without traffic from callers. It keeps up the sample of each
-// partitioned failure domain, as upstreams in it may end. Upstreams that are gone from the registry are probed as long as they have flows: their
-// flows are reset only if the upstreams do not answer.
+// startDueProbes starts the probes that are due, so that recovery is noticed without traffic from callers. Those that have waited longest come
+// first, so that each is started in bounded time.
 func (e *Engine) startDueProbes(now model.Instant) {
-	for _, id := range slices.Sorted(maps.Keys(e.domains)) {
-		if e.domains[id].Partitioned() {
-			e.suspectDomain(now, id)
+	e.probesWaiting = false
+	for !e.probesWaiting {
+		u := e.longestDue(now)
+		if u == nil {
+			return
+		}
+		e.startProbe(now, u)
+	}
+}
+
+// longestDue returns the upstream whose probe has been due for the longest time, the first by ID if there are several; nil if none is due. Upstreams
+// that are gone from the registry are probed as long as they have flows: their flows are reset only if the upstreams do not answer.
+func (e *Engine) longestDue(now model.Instant) (longest *roster.Upstream) {
+	var longestSince model.Instant
+	consider := func(u *roster.Upstream) {
+		since, due := u.Health.ProbeDue(now)
+		if !due || u.Replaced() {
+			return
+		}
+		if longest == nil || cmp.Or(cmp.Compare(since, longestSince), cmp.Compare(u.ID, longest.ID)) < 0 {
+			longest, longestSince = u, since
 		}
 	}
 	for _, u := range e.roster.All() {
-		e.startProbe(now, u)
+		consider(u)
 	}
 	for _, u := range e.roster.Gone() {
 		if u.Load.Flows > 0 {
-			e.startProbe(now, u)
+			consider(u)
+		}
+	}
+	return longest
+}
+
+// sampleDomains keeps up the sample of each partitioned failure domain, as upstreams in it may end.
+func (e *Engine) sampleDomains(now model.Instant) {
+	var partitioned []model.DomainID
+	for id, d := range e.domains {
+		if d.Partitioned() {
+			partitioned = append(partitioned, id)
 		}
 	}
+	// The table has no order; a replay must give the same result each time.
+	slices.Sort(partitioned)
+	for _, id := range partitioned {
+		e.suspectDomain(now, id)
+	}
 }
 
 func (e *Engine) domainTracker(id model.DomainID) *health.DomainTracker {
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -105,13 +105,16 @@
 	return t.timeouts > 0 || t.probeFailures > 0
 }
 
+// ProbeDue reports whether a probe is due, and since when.
+func (t *Tracker) ProbeDue(now model.Instant) (since model.Instant, due bool) {
+	return max(t.nextProbe, t.unansweredSince), !t.probing && now >= t.nextProbe && t.Suspect()
+}
+
 // StartProbe reports whether the caller must start a probe now. If so, the caller must report the outcome with FinishProbe.
 func (t *Tracker) StartProbe(now model.Instant) bool {
-	if t.probing || now < t.nextProbe || (t.timeouts == 0 && t.probeFailures == 0) {
-		return false
-	}
-	t.probing = true
-	return true
+	_, due := t.ProbeDue(now)
+	t.probing = t.probing || due
+	return due
 }
 
 // ProbeTimeout returns the timeout of a probe that starts now.
@@ -138,8 +141,8 @@
 
 // ExpediteProbe allows the next probe to start immediately, as the path to the failure domain works again. Earlier failures may be due to the path, so
 // they do not count for open flows until the next one.
-func (t *Tracker) ExpediteProbe() {
-	t.nextProbe, t.verdictUntil = 0, 0
+func (t *Tracker) ExpediteProbe(now model.Instant) {
+	t.nextProbe, t.verdictUntil = min(t.nextProbe, now), 0
 }
 
 // Ejected reports whether the upstream must not get new flows.
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -131,7 +131,7 @@
 			steps: func(tr *health.Tracker) { tr.StartProbe(at(1900)); tr.FinishProbe(at(2000), health.OutcomeAnswered) },
 		},
 		"an answer in a flow":     {steps: func(tr *health.Tracker) { tr.RecordSuccess(at(2000)) }},
-		"an answer in the domain": {steps: func(tr *health.Tracker) { tr.ExpediteProbe() }},
+		"an answer in the domain": {steps: func(tr *health.Tracker) { tr.ExpediteProbe(at(2000)) }},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
