Ignore a failed probe that began before the last answer in a flow

Cause: a probe that began while an upstream did not answer, and ended after it had answered and a later packet had timed out, counted as a failure. Together with one lost probe it made the upstream unreachable for a flow that waits, and its caller got a reset (upstream_unreachable) although the upstream had answered in between. It also counted against the failure domain. Ruled out: the same without a later timeout, which the tracker ignored already.

Change: a probe that failed and began before the last answer is inconclusive, for the upstream and for its domain.

Measured: TestFailedProbeFromBeforeAnswer failed before ("1 != 0" failed probes; without that check, "9 != 10": a reset instead of a forwarded packet), and fails if only the domain counts such a probe ("not true", domain partitioned); so did the new case of TestTracker ("true != false", ejected). Both pass now. The second new case of TestTracker, a success at the instant at which the probe begins, passed before as well.

--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -141,7 +141,7 @@
 	if outcome == health.OutcomeAnswered {
 		e.limitIfRestarted(now, u)
 	}
-	u.Health.FinishProbe(now, outcome)
+	outcome = u.Health.FinishProbe(now, outcome)
 	e.activeProbes--
 	if outcome == health.OutcomeAnswered {
 		if wasEjected {
--- a/internal/core/direct/reach_test.go
+++ b/internal/core/direct/reach_test.go
@@ -341,3 +341,42 @@
 		h.engine.Tick(h.now)
 	}), 0.0)
 }
+
+// TestFailedProbeFromBeforeAnswer checks that a failed probe that began before the upstream answered counts neither against the upstream, whose next
+// packet has timed out, nor against its failure domain.
+func TestFailedProbeFromBeforeAnswer(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	u, other := h.engine.Roster().ByService("desk")[0], h.engine.Roster().ByService("desk")[1]
+	h.data(1, feedAddress, u.Tag)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.data(1, feedAddress, u.Tag)
+	h.Equal(u.Health.Timeouts(), 1)
+	h.now = h.now.Add(20 * time.Millisecond)
+	request := model.Segment{Flow: flowKey(1, feedAddress), HasAck: true, Tag: u.Tag, Seq: 101, AckSeq: 900, Size: 100}
+	h.send(request)
+	h.now = h.now.Add(170 * time.Millisecond)
+	h.send(request)
+	h.engine.FinishProbe(h.now, u, health.OutcomeFailed)
+	h.Equal(u.Health.FailedProbes(), 0)
+	// The next probe is lost, too.
+	h.awaitProbe(u)
+	h.now = h.now.Add(200 * time.Millisecond)
+	for _, a := range h.engine.FinishProbe(h.now, u, health.OutcomeFailed) {
+		h.Equal(a.Verb, model.VerbProbe)
+	}
+	h.Equal(h.send(request).Verb, model.VerbForward)
+
+	// The upstream answers once more during a probe that fails, then two packets time out, and another upstream fails.
+	h.awaitProbe(u)
+	request.AckSeq = 1800
+	h.now = h.now.Add(time.Millisecond)
+	h.send(request)
+	u.Health.RecordTimeout(h.now)
+	u.Health.RecordTimeout(h.now)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.engine.FinishProbe(h.now, u, health.OutcomeFailed)
+	// Its probe started when that of the first upstream failed.
+	h.engine.FinishProbe(h.now, other, health.OutcomeFailed)
+	h.Equal(other.Health.FailedProbes(), 1)
+	h.True(!slices.ContainsFunc(h.engine.TakeEvents(), func(e direct.Event) bool { return e.Kind == direct.EventDomainPartitioned }))
+}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -66,8 +66,9 @@
 	pathDown bool
 	// lastProbe is when the last probe finished; zero if none has since the last answer in a flow.
 	lastProbe model.Instant
-	// probing is true while a probe is in flight.
-	probing bool
+	// probing is true while a probe is in flight, and probeStart is when the last one started.
+	probing    bool
+	probeStart model.Instant
 	// nextProbe is the earliest time of the next probe.
 	nextProbe model.Instant
 	// verdictUntil is until when the last failed probe counts for open flows: two intervals, of which the second may be the longest. It is zero
@@ -79,7 +80,7 @@
 
 // RecordSuccess records that a flow got an answer from the upstream.
 func (t *Tracker) RecordSuccess(now model.Instant) {
-	*t = Tracker{lastSuccess: now, probing: t.probing}
+	*t = Tracker{lastSuccess: now, probing: t.probing, probeStart: t.probeStart}
 }
 
 // RecordTimeout records that a packet sent at the given time got no answer in time. A packet sent before the last success is ignored.
@@ -113,7 +114,9 @@
 // StartProbe reports whether the caller must start a probe now. If so, the caller must report the outcome with FinishProbe.
 func (t *Tracker) StartProbe(now model.Instant) bool {
 	_, due := t.ProbeDue(now)
-	t.probing = t.probing || due
+	if due {
+		t.probing, t.probeStart = true, now
+	}
 	return due
 }
 
@@ -123,8 +126,12 @@
 }
 
 // FinishProbe records the outcome of a probe. An answered probe proves that the path works, not that the upstream serves flows, so it
-// does not reset the backoff of probes; only RecordSuccess does.
-func (t *Tracker) FinishProbe(now model.Instant, outcome Outcome) {
+// does not reset the backoff of probes; only RecordSuccess does. It returns the outcome that counts: a failed probe that began before the last answer in a
+// flow is inconclusive.
+func (t *Tracker) FinishProbe(now model.Instant, outcome Outcome) Outcome {
+	if outcome == OutcomeFailed && t.probeStart < t.lastSuccess {
+		outcome = OutcomeInconclusive
+	}
 	t.probing, t.lastProbe = false, now
 	t.probeInterval = min(max(t.probeInterval*probeIntervalGrowth, initialProbeInterval), maxProbeInterval)
 	t.nextProbe = now.Add(t.probeInterval)
@@ -137,6 +144,7 @@
 			t.verdictUntil = t.nextProbe.Add(maxProbeInterval)
 		}
 	}
+	return outcome
 }
 
 // ExpediteProbe allows the next probe to start immediately, as the path to the failure domain works again. Earlier failures may be due to the path, so
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -92,6 +92,24 @@
 				tr.FinishProbe(at(111), health.OutcomeFailed)
 			},
 		},
+		"success and a timeout during a probe that fails": {
+			steps: func(tr *health.Tracker) {
+				tr.RecordTimeout(at(10))
+				tr.StartProbe(at(11))
+				tr.RecordSuccess(at(50))
+				tr.RecordTimeout(at(60))
+				tr.FinishProbe(at(111), health.OutcomeFailed)
+			},
+		},
+		"success before a probe that fails": {
+			steps: func(tr *health.Tracker) {
+				tr.RecordSuccess(at(5))
+				tr.RecordTimeout(at(5))
+				tr.StartProbe(at(5))
+				tr.FinishProbe(at(111), health.OutcomeFailed)
+			},
+			ejected: true,
+		},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
