Count no failure of the instance itself as a failed probe

Cause: every error of the dial of a probe that was no refusal counted against the upstream unless the process had stalled or its link was saturated. An instance without a free descriptor, local port or buffer fails all its probes at once, and resets the idempotent flows of upstreams that serve (upstream_unreachable). Ruled out: a refusal, a reset or an unreachable host may also come from a partition, but an instance cannot tell it from an upstream that is down; they remain failures.

Change: EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM and a cancelled context make the probe inconclusive, counted as upstream_probe_local_error_total. The classification is a function of the error and of two facts, apart from the dial.

--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -48,7 +48,8 @@
 	OutcomeAnswered Outcome = iota + 1
 	// OutcomeFailed means that the probe timed out or that the connection was refused; a network partition may cause either.
 	OutcomeFailed
-	// OutcomeInconclusive means that this instance stalled during the probe, which may be why no answer arrived in time.
+	// OutcomeInconclusive means that this instance may be why no answer arrived in time: it stalled during the probe, its own link was saturated, or the
+	// probe could not be sent.
 	OutcomeInconclusive
 )
 
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -13,27 +13,62 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-// probe checks in the background whether an upstream accepts a TCP connection, which takes none of its slots. A timeout is inconclusive if
-// the process was stalled meanwhile, or if the instance's own link was saturated by arriving packets, behind which the answer waits.
+// probeResult is what is known of a probe that has ended.
+type probeResult struct {
+	// err is the error of the dial; nil if the upstream accepted the connection.
+	err error
+	// stalled is true if the process was stalled meanwhile, so that an answer may have gone unnoticed.
+	stalled bool
+	// saturated is true if arriving packets filled the instance's own link, behind which the answer waits.
+	saturated bool
+}
+
+// classify returns the outcome of the probe, and the counter of the reason if it is inconclusive for one that is counted.
+func (p probeResult) classify() (outcome health.Outcome, counter string) {
+	switch {
+	case p.err == nil:
+		return health.OutcomeAnswered, ""
+	case p.local():
+		return health.OutcomeInconclusive, "upstream.probe_local_error"
+	case errors.Is(p.err, syscall.ECONNREFUSED):
+		return health.OutcomeFailed, ""
+	case p.stalled:
+		return health.OutcomeInconclusive, ""
+	case p.saturated:
+		return health.OutcomeInconclusive, "upstream.probe_saturated"
+	default:
+		return health.OutcomeFailed, ""
+	}
+}
+
+// local reports whether the probe failed because of this instance: it has no descriptor, port or memory left, or it stops.
+func (p probeResult) local() bool {
+	for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM, context.Canceled} {
+		if errors.Is(p.err, err) {
+			return true
+		}
+	}
+	return false
+}
+
+// probe checks in the background whether an upstream accepts a TCP connection, which takes none of its slots.
 func (r *Relay) probe(ctx context.Context, u *roster.Upstream, timeout time.Duration) {
 	address := u.Address.String()
 	go func() {
 		start, received := r.now(), r.receivedBytes.Load()
 		dialer := net.Dialer{Timeout: timeout}
 		conn, err := dialer.DialContext(ctx, "tcp", address)
-		outcome := health.OutcomeAnswered
-		switch {
-		case conn != nil:
+		if conn != nil {
 			_ = conn.Close()
-		case errors.Is(err, syscall.ECONNREFUSED):
-			outcome = health.OutcomeFailed
-		case model.Instant(r.lastStall.Load()) >= start || r.now().Sub(start) > timeout+stallThreshold:
-			outcome = health.OutcomeInconclusive
-		case egress.Saturated(r.limits.Load().LinkMbps, r.receivedBytes.Load()-received, r.now().Sub(start)):
-			r.counts.Counter("upstream.probe_saturated").Inc(1)
-			outcome = health.OutcomeInconclusive
-		default:
-			outcome = health.OutcomeFailed
+		}
+		took := r.now().Sub(start)
+		outcome, counter := probeResult{
+			err:       err,
+			stalled:   model.Instant(r.lastStall.Load()) >= start || took > timeout+stallThreshold,
+			saturated: egress.Saturated(r.limits.Load().LinkMbps, r.receivedBytes.Load()-received, took),
+		}.classify()
+		if counter != "" {
+			r.counts.Counter(counter).Inc(1)
 		}
 		r.submit(ctx, func(now model.Instant) { r.act(ctx, now, r.engine.FinishProbe(now, u, outcome)) })
 	}()
