Decide in the decision loop whether a stall makes a probe inconclusive

Cause: a probe that timed out during a stall counted as failed, and with one or two others made callers of idempotent flows get a reset (upstream_unreachable) from an upstream that serves. The goroutine of the probe compared lastStall before the timer of the decision loop had set it. The loop also lost stalls: if it took a packet or a command first, it set the timer again, and the overdue expiry was discarded. Ruled out: a probe that takes more than 25 ms beyond its timeout, which was inconclusive already.

Change: the end of a probe is classified in the decision loop. The stall detector keeps the last stall, notes one when the timer is set again, and counts a timer that is still overdue.

Measured: TestProbeEndsBeforeStallIsNoted failed before in 5 of 5 runs ("1 != 0" failed probes) and passes in 5 of 5, and twice with the race detector. TestStalledSince is new; its cases of a probe after a stall or suspension fail without the check of the overdue timer ("false != true").

--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -67,7 +67,7 @@
 			c(r.now())
 		case <-timer.C:
 			now := r.now()
-			r.handleStall(now, r.stall.timerFired(now))
+			r.handleStall(r.stall.timerFired(now))
 			r.act(ctx, now, r.engine.Tick(now))
 			r.logOmitted(now)
 			r.recordSamples()
@@ -84,12 +84,9 @@
 	}
 }
 
-// handleStall records a stall of the process, so that probes that time out because of it are inconclusive. After a stall longer than
-// share.CallMargin it discards the ordinal, as it may have been assigned to another instance.
-func (r *Relay) handleStall(now model.Instant, delay time.Duration) {
-	if delay > 0 {
-		r.lastStall.Store(int64(now))
-	}
+// handleStall acts on a stall of the process. After one longer than share.CallMargin it discards the ordinal, as it may have been assigned to another
+// instance.
+func (r *Relay) handleStall(delay time.Duration) {
 	if delay > share.CallMargin {
 		r.engine.SetOrdinal(model.Ordinal{}, 0)
 	}
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -62,14 +62,21 @@
 			_ = conn.Close()
 		}
 		took := r.now().Sub(start)
-		outcome, counter := probeResult{
+		result := probeResult{
 			err:       err,
-			stalled:   model.Instant(r.lastStall.Load()) >= start || took > timeout+stallThreshold,
+			stalled:   took > timeout+stallThreshold,
 			saturated: egress.Saturated(r.limits.Load().LinkMbps, r.receivedBytes.Load()-received, took),
-		}.classify()
-		if counter != "" {
-			r.counts.Counter(counter).Inc(1)
 		}
-		r.submit(ctx, func(now model.Instant) { r.act(ctx, now, r.engine.FinishProbe(now, u, outcome)) })
+		r.submit(ctx, func(now model.Instant) { r.finishProbe(ctx, now, u, start, result) })
 	}()
 }
+
+// finishProbe passes the outcome of a probe to the engine. It runs in the decision loop, which knows of a stall before any other goroutine.
+func (r *Relay) finishProbe(ctx context.Context, now model.Instant, u *roster.Upstream, start model.Instant, result probeResult) {
+	result.stalled = result.stalled || r.stall.stalledSince(now, start)
+	outcome, counter := result.classify()
+	if counter != "" {
+		r.counts.Counter(counter).Inc(1)
+	}
+	r.act(ctx, now, r.engine.FinishProbe(now, u, outcome))
+}
--- a/internal/run/relay/probe_test.go
+++ b/internal/run/relay/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"syscall"
 	"testing"
@@ -10,7 +11,11 @@
 
 	"github.com/matryer/is"
 
+	"hawthorncourse/internal/base/ring"
+	"hawthorncourse/internal/core/egress"
 	"hawthorncourse/internal/core/health"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/core/roster"
 )
 
 // dialError returns the error of a dial to a local port that accepts no connection.
@@ -71,3 +76,56 @@
 		})
 	}
 }
+
+// silentAddress returns the address of a socket whose queue of connections is full, so that it does not answer further ones.
+func silentAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	is := is.New(t)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*syscall.SockaddrInet4).Port))
+	conn, err := net.DialTimeout("tcp", address.String(), time.Second)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return address
+}
+
+// TestProbeEndsBeforeStallIsNoted checks that a probe that times out during a stall is inconclusive, although the decision loop handles its end before
+// the overdue timer that tells of the stall.
+func TestProbeEndsBeforeStallIsNoted(t *testing.T) {
+	is := is.New(t)
+	r := newTestRelay(t)
+	r.segments, r.stall, r.egress = ring.New[model.Segment](8), newStallDetector(bootClock), egress.New[outgoing](0)
+	r.counters, r.cfg.LogsDropped = newActionCounters(r.counts), func() int64 { return 0 }
+	r.recorder, r.suspicions = recorder{log: r.logger("flow")}, ring.New[model.Suspicion](8)
+	r.limits.Store(&Limits{})
+	u := &roster.Upstream{Registration: model.Registration{ID: "a-1", Address: silentAddress(t)}}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- r.decide(ctx) }()
+	r.submit(ctx, func(now model.Instant) {
+		u.Health.RecordTimeout(now)
+		u.Health.RecordTimeout(now)
+		is.True(u.Health.StartProbe(now))
+		r.probe(ctx, u, 50*time.Millisecond)
+		// The decision loop is blocked until after the end of the probe, and its timer is overdue.
+		sleep(ctx, tickInterval+3*stallThreshold)
+	})
+	for ended := make(chan bool); ; {
+		r.submit(ctx, func(model.Instant) { ended <- u.Health.LastProbe() != 0 })
+		if <-ended {
+			break
+		}
+		sleep(ctx, 10*time.Millisecond)
+	}
+	cancel()
+	is.NoErr(<-done)
+	// The upstream did not answer the probe, which counts neither for it nor against it.
+	is.Equal(u.Health.Timeouts(), 2)
+	is.Equal(u.Health.FailedProbes(), 0)
+}
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -148,8 +148,6 @@
 	serving atomic.Bool
 	// isolated is set while no upstream is reachable.
 	isolated atomic.Bool
-	// lastStall is the instant at which a timer last fired so late that the process must have been stalled.
-	lastStall atomic.Int64
 	// lastPacket is the instant at which the last packet was handled.
 	lastPacket atomic.Int64
 	// era and revision are those of the current snapshot, and confirmedAt is the instant at which the store last confirmed it. They are for logs
--- a/internal/run/relay/stall.go
+++ b/internal/run/relay/stall.go
@@ -26,6 +26,8 @@
 	bootExpected time.Duration
 	// bootTime reads the boot-time clock.
 	bootTime func() time.Duration
+	// lastStall is when a stall was last noticed; zero if none was.
+	lastStall model.Instant
 	// staleUntil is until when packets are dropped after a stall longer than staleThreshold.
 	staleUntil model.Instant
 }
@@ -34,23 +36,41 @@
 	return &stallDetector{bootTime: bootTime}
 }
 
-// expect records that the timer is due after wait.
+// expect records that the timer is due after wait. If it was overdue, something else woke the decision loop after a stall.
 func (s *stallDetector) expect(now model.Instant, wait time.Duration) {
-	s.expected, s.bootExpected = now.Add(wait), s.bootTime()+wait
+	boot := s.bootTime()
+	if s.delay(now, boot) > stallThreshold {
+		s.lastStall = now
+	}
+	s.expected, s.bootExpected = now.Add(wait), boot+wait
+}
+
+// delay returns how long the timer has been due; it is negative before, and zero if none was set.
+func (s *stallDetector) delay(now model.Instant, boot time.Duration) time.Duration {
+	if s.expected == 0 {
+		return 0
+	}
+	return max(now.Sub(s.expected), boot-s.bootExpected)
 }
 
 // timerFired returns how late the timer fired, or zero if the delay is within stallThreshold.
 func (s *stallDetector) timerFired(now model.Instant) time.Duration {
-	delay := max(now.Sub(s.expected), s.bootTime()-s.bootExpected)
+	delay := s.delay(now, s.bootTime())
 	if delay > staleThreshold {
 		s.staleUntil = now.Add(staleDrainTime)
 	}
 	if delay <= stallThreshold {
 		return 0
 	}
+	s.lastStall = now
 	return delay
 }
 
+// stalledSince reports whether the process has been stalled since start, including a stall that has just ended, whose timer is still overdue.
+func (s *stallDetector) stalledSince(now, start model.Instant) bool {
+	return (s.lastStall != 0 && s.lastStall >= start) || s.delay(now, s.bootTime()) > stallThreshold
+}
+
 // stale reports whether a packet taken from the queue now may have been received before or during a long stall.
 func (s *stallDetector) stale(now model.Instant) bool {
 	if s.bootTime()-s.bootExpected > staleThreshold {
--- a/internal/run/relay/stall_test.go
+++ b/internal/run/relay/stall_test.go
@@ -46,6 +46,43 @@
 	}
 }
 
+// TestStalledSince checks that a stall is known whichever event the decision loop handles first after it.
+func TestStalledSince(t *testing.T) {
+	const wait, stall = 100 * time.Millisecond, 60 * time.Millisecond
+	cases := map[string]struct {
+		// steady and boot are how late the decision loop wakes, by the monotonic and the boot-time clock.
+		steady, boot time.Duration
+		// wake handles what the decision loop takes first.
+		wake func(s *stallDetector, now model.Instant)
+		// start is when the probe began, after the timer was set.
+		start   time.Duration
+		stalled bool
+	}{
+		"on time, the timer":         {wake: func(s *stallDetector, now model.Instant) { s.timerFired(now); s.expect(now, wait) }},
+		"on time, a command":         {wake: func(s *stallDetector, now model.Instant) { s.expect(now, wait) }},
+		"on time, the probe":         {wake: func(*stallDetector, model.Instant) {}},
+		"slightly late, the probe":   {steady: stallThreshold - 1, boot: stallThreshold - 1, wake: func(*stallDetector, model.Instant) {}},
+		"a stall, then the timer":    {steady: stall, boot: stall, wake: func(s *stallDetector, now model.Instant) { s.timerFired(now); s.expect(now, wait) }, stalled: true},
+		"a stall, then a command":    {steady: stall, boot: stall, wake: func(s *stallDetector, now model.Instant) { s.expect(now, wait) }, stalled: true},
+		"a stall, then the probe":    {steady: stall, boot: stall, wake: func(*stallDetector, model.Instant) {}, stalled: true},
+		"a suspension, then a probe": {boot: stall, wake: func(*stallDetector, model.Instant) {}, stalled: true},
+		"a stall before the probe":   {steady: stall, boot: stall, wake: func(s *stallDetector, now model.Instant) { s.expect(now, wait) }, start: wait + stall + 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var boot time.Duration
+			s := newStallDetector(func() time.Duration { return boot })
+			begin := model.Instant(time.Minute)
+			s.expect(begin, wait)
+			boot = wait + tc.boot
+			now := begin.Add(wait + tc.steady)
+			tc.wake(s, now)
+			is.Equal(s.stalledSince(now.Add(1), begin.Add(tc.start)), tc.stalled)
+		})
+	}
+}
+
 // TestShutdownComplete checks when a graceful shutdown may end.
 func TestShutdownComplete(t *testing.T) {
 	cases := map[string]struct {
