--- a/internal/core/direct/reach_test.go
+++ b/internal/core/direct/reach_test.go
@@ -203,6 +203,25 @@
 	}
 }
 
+// TestFlowOfGoneUpstreamResetByOldProbes checks that flows of an upstream that is gone from the registry go on while all probes since the last failure
+// are inconclusive.
+func TestFlowOfGoneUpstreamResetByOldProbes(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	u := h.engine.Roster().ByService("desk")[0]
+	h.checkForwarded(u)
+	h.sync(threeUpstreams()[1:]...)
+	h.checkForwarded(u)
+	h.failProbes(u)
+	for range 5 {
+		h.awaitProbe(u)
+		h.now = h.now.Add(200 * time.Millisecond)
+		h.engine.FinishProbe(h.now, u, health.OutcomeInconclusive)
+	}
+	h.checkForwarded(u)
+	h.failProbe(u)
+	h.checkEnded(u)
+}
+
 // probeRun carries out the probes of an engine in virtual time: those of the upstreams in answering are answered after a millisecond, the others
 // time out.
 type probeRun struct {
