Hold packets whose tag is of a registration that is not used here

Cause: a caller's open flow was reset (upstream_gone) by an instance that did not find its tag among the services of the flow's route, once the roster was complete. Complete says that every registration was listed, not that each was applied: one that is contested, refused after a restore or written before the known one is listed without a tag, while an instance that has started since, and knows no earlier run, uses it. A run may also be known under a service that the route has not named here, since this instance has skipped a version of the routes. Ruled out: a tag that resolves goes to its own upstream in each of these states.

Change: Roster.Knows says whether a tag is of any registration that was listed, applied or not, of any service. Tags of registrations that were not applied are kept for the life of a flow. A packet with such a tag is held and dropped, never reset, and never sent to a service that its route has not named. A tag that no registration had is reset as before.

Measured: TestTagOfUnusedRun, 8 of 8 cases failed before ("9 != 8": reset, not drop, when the held packets were released), and TestTagOfUnusedRunExpires ("not true: !reset()"); both pass. Tests of the roster and direct packages pass.

--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	since := e.unknownTags.Peek(unknownTag{service: seg.Flow.Service, tag: seg.Tag})
-	return since == nil || !e.roster.Complete(*since)
+	return since == nil || !e.isDeadTag(seg.Tag, *since)
 }
 
 // expireHeld drops the packets that have been held for too long.
--- a/internal/core/direct/tag_test.go
+++ b/internal/core/direct/tag_test.go
@@ -1,6 +1,8 @@
 package direct_test
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +44,86 @@
 	h.Equal(h.data(1, feedAddress, ups[1].Tag).Reason, model.ReasonTagChanged)
 	h.Equal(h.data(1, feedAddress, ups[1].Tag).Reason, model.ReasonNone)
 }
+
+// TestTagOfUnusedRun guards against flows that are reset because their tag belongs to a run that this instance has listed but does not use, or knows under
+// a service that the route has not named here: other instances may send flows to it.
+func TestTagOfUnusedRun(t *testing.T) {
+	earlier, later, claims := registration(1, "east"), registration(1, "east"), registration(4, "west")
+	later.Boot, later.Revision, later.Address = 2, 9, netip.MustParseAddrPort("10.0.0.9:80")
+	earlier.Revision = 12
+	older := earlier
+	older.Revision = 5
+	claims.Service = "claims"
+	others := threeUpstreams()[1:]
+	with := func(regs ...model.Registration) []model.Registration { return append(slices.Clone(others), regs...) }
+	cases := map[string]struct {
+		run   model.Registration
+		steps func(*harness)
+	}{
+		"an earlier run, contested": {run: earlier, steps: func(h *harness) { h.sync(with(earlier)...) }},
+		"an earlier run, contested, then overwritten": {run: earlier, steps: func(h *harness) {
+			h.sync(with(earlier)...)
+			next := later
+			next.Revision = 14
+			h.sync(with(next)...)
+		}},
+		"an earlier run, contested, then removed": {run: earlier, steps: func(h *harness) {
+			h.sync(with(earlier)...)
+			h.sync(others...)
+		}},
+		"an earlier run, contested, in one page of a list": {run: earlier, steps: func(h *harness) {
+			h.engine.Roster().Add(h.now, []model.Registration{earlier}, 0)
+		}},
+		"an earlier run, written before the known one": {run: older, steps: func(h *harness) { h.sync(with(older)...) }},
+		"an earlier run, refused after a restore": {run: older, steps: func(h *harness) {
+			h.engine.Roster().Sync(h.now, model.Listing[model.Registration]{Items: with(older), Era: 1})
+		}},
+		"a service that the route has not named here": {run: claims, steps: func(h *harness) { h.sync(with(later, claims)...) }},
+		"a service that the route has not named here, whose run has ended": {run: claims, steps: func(h *harness) {
+			h.sync(with(later, claims)...)
+			h.sync(with(later)...)
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, with(later)...)
+			tc.steps(h)
+			tag := newHarness(t, tc.run).engine.Roster().Get(tc.run.ID).Tag
+			h.Equal(h.data(1, feedAddress, tag).Verb, model.VerbHold)
+			for range 5 {
+				h.now = h.now.Add(200 * time.Millisecond)
+				h.engine.Roster().Confirm(h.now, h.now)
+				for _, a := range h.engine.ReleaseHeld(h.now) {
+					h.Equal(a.Verb, model.VerbDrop)
+				}
+				h.Equal(h.data(1, feedAddress, tag).Verb, model.VerbHold)
+			}
+			h.Equal(h.data(2, feedAddress, tag+1).Verb, model.VerbHold)
+			h.now = h.now.Add(200 * time.Millisecond)
+			h.engine.Roster().Confirm(h.now, h.now)
+			h.Equal(h.data(2, feedAddress, tag+1).Verb, model.VerbReset)
+		})
+	}
+}
+
+// TestTagOfUnusedRunExpires checks that the tag of a run that is not used is known for no longer than a flow lives.
+func TestTagOfUnusedRunExpires(t *testing.T) {
+	earlier, later := registration(1, "east"), registration(1, "east")
+	later.Boot, later.Revision, later.Address = 2, 9, netip.MustParseAddrPort("10.0.0.9:80")
+	earlier.Revision = 12
+	h := newHarness(t, later)
+	h.sync(earlier)
+	tag := newHarness(t, earlier).engine.Roster().Get(earlier.ID).Tag
+	later.Revision = 14
+	h.sync(later)
+	reset := func() bool {
+		h.data(1, feedAddress, tag)
+		h.now = h.now.Add(time.Millisecond)
+		h.engine.Roster().Confirm(h.now, h.now)
+		return h.data(1, feedAddress, tag).Verb == model.VerbReset
+	}
+	h.advance(time.Minute - 10*time.Millisecond)
+	h.True(!reset())
+	h.advance(20 * time.Millisecond)
+	h.True(reset())
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -65,6 +65,8 @@
 	newlyNamed map[model.ServiceID]bool
 	// contests holds the registrations that contradict a known run, by ID; only those that the last listing contained.
 	contests map[model.UpstreamID]*contest
+	// unused holds when a registration with the tag was last listed without being applied. Other instances may use its run.
+	unused map[model.RoutingTag]model.Instant
 	// refusals collects refused registrations until TakeRefusals returns them for the log.
 	refusals []Refusal
 }
@@ -92,6 +94,7 @@
 		named:       map[model.ServiceID]bool{},
 		newlyNamed:  map[model.ServiceID]bool{},
 		contests:    map[model.UpstreamID]*contest{},
+		unused:      map[model.RoutingTag]model.Instant{},
 		graceUntil:  model.Instant(OutageGrace),
 	}
 }
@@ -164,7 +167,7 @@
 	return r.confirmedAt > since && r.confirmedAt >= r.graceUntil
 }
 
-// Complete reports whether the roster knows the tag of every upstream that a flow of the given time can belong to: the store has confirmed the
+// Complete reports whether Knows is true for the tag of every upstream that a flow of the given time can belong to: the store has confirmed the
 // roster since then, and without a gap for as long as a flow lives, and all registrations could be decoded. A roster that is younger may lack an
 // upstream that serves, as its registration may have expired before.
 func (r *Roster) Complete(since model.Instant) bool {
@@ -180,6 +183,7 @@
 			delete(r.tags, oldest.key())
 		}
 	}
+	maps.DeleteFunc(r.unused, func(_ model.RoutingTag, listedAt model.Instant) bool { return now.Sub(listedAt) >= r.cfg.TagRetention })
 }
 
 // ByTag returns the run of an upstream of the service with the tag, or nil. The result may be in StateGone.
@@ -187,6 +191,20 @@
 	return r.tags[tagKey{service: service, tag: tag}]
 }
 
+// Knows reports whether a tag is of any registration that was listed, applied or not, of any service. A flow with the tag may be open at its run even
+// if ByTag does not find it among the services of the flow's route.
+func (r *Roster) Knows(tag model.RoutingTag) bool {
+	if _, unused := r.unused[tag]; unused {
+		return true
+	}
+	for service := range r.services {
+		if r.ByTag(service, tag) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Gone returns the runs in StateGone whose tags are still known, oldest first. The caller must not modify the slice.
 func (r *Roster) Gone() []*Upstream {
 	return r.ended
@@ -281,11 +299,14 @@
 	u := r.current[reg.ID]
 	switch {
 	case u != nil && u.writtenAfter(reg, era):
+		r.keepUnused(now, reg)
 	case u != nil && u.startedAfter(reg, era):
+		r.keepUnused(now, reg)
 		r.refuse(u, reg, CauseEarlierRun)
 		delete(r.contests, reg.ID)
 		return false
 	case r.contested(now, u, reg, era):
+		r.keepUnused(now, reg)
 	default:
 		r.apply(now, u, reg, era)
 	}
@@ -318,6 +339,13 @@
 	r.supersede(now, u)
 }
 
+// keepUnused records that a registration was listed that was not applied, unless it is an older write of the run in use.
+func (r *Roster) keepUnused(now model.Instant, reg *model.Registration) {
+	if u := r.current[reg.ID]; u == nil || !u.isRun(reg) {
+		r.unused[routingTag(reg)] = now
+	}
+}
+
 // run returns the known run that a registration names, or nil. It may be in StateGone.
 func (r *Roster) run(reg *model.Registration) *Upstream {
 	u := r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
