Keep flows of a run that was listed after the one before it at its address

Cause: a caller's open flow was reset (upstream_gone), without a probe, while its upstream served. A run that used the address before had its clock ahead, and the store executed its last heartbeat late: the sound run had the lower start and the lower revision, so it counted as the earlier of the two, whose flows end at once. Ruled out: contests, which compare runs under one ID, and only know of a reused address after it has ended a run.

Change: a run that was listed before another at its address, in the same era, cannot have replaced it, whatever the clocks say: neither while both are listed nor after the registration of the other was lost. The roster keeps with each run the first listing of the era that it was in. Where the order is certain, flows end at once as before.

--- a/internal/core/direct/engine_test.go
+++ b/internal/core/direct/engine_test.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// tagOf returns the tag of the run that a registration names.
+func tagOf(reg model.Registration) model.RoutingTag {
+	r := roster.New(roster.Config{})
+	r.Add(0, []model.Registration{reg}, 0)
+	return r.Get(reg.ID).Tag
+}
+
 // threeUpstreams returns the registrations of three upstreams of the service "desk" in two failure domains.
 func threeUpstreams() []model.Registration {
 	return []model.Registration{registration(1, "east"), registration(2, "east"), registration(3, "west")}
@@ -323,6 +330,28 @@
 			h.sync(append(threeUpstreams(), next)...)
 			h.checkEnded(up)
 		},
+		"a flow of an upstream stays when a late heartbeat of the run that had its address before, with a faster clock, is listed": func(h *harness) {
+			dead, sound := registration(4, "east"), registration(5, "east")
+			dead.Boot, sound.Address = 9, dead.Address
+			h.sync(append(threeUpstreams(), dead)...)
+			h.sync(append(threeUpstreams(), dead, sound)...)
+			up := h.engine.Roster().Get(sound.ID)
+			dead.Revision = 12
+			h.sync(append(threeUpstreams(), dead, sound)...)
+			h.checkForwarded(up)
+		},
+		"a flow of an upstream that was first listed with another at its address is reset once the upstream does not answer probes": func(h *harness) {
+			dead, sound := registration(4, "east"), registration(5, "east")
+			dead.Boot, dead.Revision, sound.Address = 9, 12, dead.Address
+			h.sync(append(threeUpstreams(), dead, sound)...)
+			up := h.engine.Roster().ByTag("desk", tagOf(sound))
+			h.checkForwarded(up)
+			for port := uint16(10); port < 60; port++ {
+				h.True(h.syn(port, feedAddress, 0).Upstream != up)
+			}
+			h.failProbes(up)
+			h.checkEnded(up)
+		},
 		"a flow of a removed route is reset": func(h *harness) {
 			up := h.engine.Roster().ByService("desk")[0]
 			h.Equal(h.data(1, feedAddress, up.Tag).Verb, model.VerbForward)
--- a/internal/core/direct/tag_test.go
+++ b/internal/core/direct/tag_test.go
@@ -88,7 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, with(later)...)
 			tc.steps(h)
-			tag := newHarness(t, tc.run).engine.Roster().Get(tc.run.ID).Tag
+			tag := tagOf(tc.run)
 			h.Equal(h.data(1, feedAddress, tag).Verb, model.VerbHold)
 			for range 5 {
 				h.now = h.now.Add(200 * time.Millisecond)
@@ -113,7 +113,7 @@
 	earlier.Revision = 12
 	h := newHarness(t, later)
 	h.sync(earlier)
-	tag := newHarness(t, earlier).engine.Roster().Get(earlier.ID).Tag
+	tag := tagOf(earlier)
 	later.Revision = 14
 	h.sync(later)
 	reset := func() bool {
--- a/internal/core/roster/replace.go
+++ b/internal/core/roster/replace.go
@@ -11,12 +11,12 @@
 }
 
 // replaceEnded marks the runs that were gone from the registry before a later run registered, which reg is of, under their ID or at their address.
-func (r *Roster) replaceEnded(reg *model.Registration, era model.Era) {
+func (r *Roster) replaceEnded(by *Upstream, reg *model.Registration) {
 	if !r.named[reg.Service] {
 		return
 	}
 	for _, e := range r.ended {
-		if e.replacedBy(reg, era) {
+		if e.replacedBy(by, reg) {
 			e.markReplaced(reg)
 		}
 	}
@@ -31,7 +31,7 @@
 	clear(r.newlyNamed)
 	for _, u := range runs {
 		if u.State != StateGone {
-			r.replaceEnded(&u.Registration, u.Era)
+			r.replaceEnded(u, &u.Registration)
 			r.supersede(now, u)
 		}
 	}
@@ -39,7 +39,8 @@
 
 // supersede ends the earlier of two runs of named services at the same address. The platform reuses an address only after its upstream has ended, but
 // the old registration may remain for seconds. Boot values come from the clocks of different machines, so a run counts as later only if its
-// registration was also written later, which the revisions of one era tell.
+// registration was also written later, which the revisions of one era tell, and not listed before the other. A run that was first listed together with
+// the other gets no new flows, but its open ones end like those of an upstream that is gone: the last heartbeat of an ended run may be executed late.
 func (r *Roster) supersede(now model.Instant, u *Upstream) {
 	if !r.named[u.Service] {
 		return
@@ -54,13 +55,18 @@
 		later, earlier = other, u
 	}
 	r.addresses[u.Address] = later
-	if earlier.Boot == 0 || earlier.Boot == later.Boot || earlier.Era != later.Era || earlier.Revision >= later.Revision || earlier.outlived == later {
+	if !later.supersedes(earlier) {
 		return
 	}
-	earlier.superseded = true
+	earlier.superseded, earlier.disputed = true, !earlier.listedBefore(later)
 	r.end(now, earlier, CauseAddressReused, &later.Registration)
 }
 
+// supersedes reports whether the run counts as later than another at its address, which did not start after it.
+func (u *Upstream) supersedes(v *Upstream) bool {
+	return v.Boot != 0 && v.Boot != u.Boot && v.Era == u.Era && v.Revision < u.Revision && v.outlived != u && !u.listedBefore(v)
+}
+
 // end gives up an upstream because of a registration of another run.
 func (r *Roster) end(now model.Instant, u *Upstream, cause Cause, by *model.Registration) {
 	r.markGone(now, u)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -67,6 +67,8 @@
 	contests map[model.UpstreamID]*contest
 	// unused holds when a registration with the tag was last listed without being applied. Other instances may use its run.
 	unused map[model.RoutingTag]model.Instant
+	// lists is the number of complete listings.
+	lists uint64
 	// refusals collects refused registrations until TakeRefusals returns them for the log.
 	refusals []Refusal
 }
@@ -118,6 +120,7 @@
 	for _, u := range r.matching(func(u *Upstream) bool { return !listed[u.ID] }) {
 		r.markMissing(now, u.ID)
 	}
+	r.lists++
 	maps.DeleteFunc(r.contests, func(id model.UpstreamID, _ *contest) bool { return !listed[id] })
 }
 
@@ -333,7 +336,8 @@
 	if u.Draining != draining {
 		r.changes = append(r.changes, StateChange{Upstream: u, State: u.State})
 	}
-	u.Registration, u.Era = *reg, era
+	u.enterEra(era, r.firstListing(reg))
+	u.Registration = *reg
 	u.Draining = draining
 	r.setState(now, u, StateListed)
 	r.supersede(now, u)
@@ -364,13 +368,14 @@
 
 // insert adds a run of an upstream. A run that was gone from the registry and reappears keeps its load and its health.
 func (r *Roster) insert(now model.Instant, reg *model.Registration, era model.Era) *Upstream {
-	u := &Upstream{Tag: routingTag(reg), Registration: *reg, ColdUntil: now.Add(reg.ColdFor)}
+	u := &Upstream{Tag: routingTag(reg), Registration: *reg, Era: era, first: r.firstListing(reg), ColdUntil: now.Add(reg.ColdFor)}
 	if old := r.run(reg); old != nil && !old.superseded && !old.replaced {
 		r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
 		old.ColdUntil = old.coldUntil(now, reg, era)
+		old.enterEra(era, r.firstListing(reg))
 		u = old
 	}
-	r.replaceEnded(reg, era)
+	r.replaceEnded(u, reg)
 	r.current[reg.ID] = u
 	list := r.services[reg.Service]
 	u.serviceIndex, u.allIndex = len(list), len(r.all)
@@ -380,6 +385,11 @@
 	return u
 }
 
+// firstListing returns the listing that a registration is applied from, as the first one of a run.
+func (r *Roster) firstListing(reg *model.Registration) firstListing {
+	return firstListing{list: r.lists, revision: reg.Revision}
+}
+
 func (r *Roster) markUnreadable(now model.Instant, id model.UpstreamID) {
 	if u := r.current[id]; u != nil {
 		r.setState(now, u, StateUnreadable)
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -38,11 +38,21 @@
 	return stateNames[s]
 }
 
+// firstListing says when a run was first listed.
+type firstListing struct {
+	// list is the number of complete listings before it.
+	list uint64
+	// revision is that of the registration in it.
+	revision model.Revision
+}
+
 // Upstream is one run of an upstream, from a start of its process to its exit.
 type Upstream struct {
 	model.Registration
 	// Era is the era in which the registration was last listed.
 	Era model.Era
+	// first is the first listing of the run in Era.
+	first firstListing
 	// Tag identifies this run inside the packets of a flow; never zero.
 	Tag   model.RoutingTag
 	State State
@@ -53,8 +63,10 @@
 	// Load is the load that this instance puts on the upstream.
 	Load   place.Load
 	Health health.Tracker
-	// superseded is true once a later run uses the address, and replaced once there is a later run under the ID.
+	// superseded is true once a later run uses the address, as far as start and revision tell, and replaced once there is a later run under the ID.
 	superseded, replaced bool
+	// disputed is true if superseded is set and the registry does not tell which of the two runs is the later one, as far as this instance has seen.
+	disputed bool
 	// inPlace is true if replaced is set and each later run under the ID has the same address. Flows that were opened there before the registry listed
 	// that run may be its own, though they carry the tag of this one.
 	inPlace bool
@@ -80,16 +92,29 @@
 	return era != u.Era && reg.Boot != 0 && reg.Boot < u.Boot
 }
 
-// replacedBy reports whether reg, which was listed in an era, is of a later run under the ID or at the address. The clocks of two machines may
-// differ, so at the address the registration must have been written later as well.
-func (u *Upstream) replacedBy(reg *model.Registration, era model.Era) bool {
+// replacedBy reports whether reg, which is of the run by, is of a later run under the ID or at the address. The clocks of two machines may differ, so at
+// the address the registration must have been written later as well, and by must have been listed later.
+func (u *Upstream) replacedBy(by *Upstream, reg *model.Registration) bool {
 	if u.Boot == 0 || reg.Boot <= u.Boot {
 		return false
 	}
 	if reg.ID == u.ID {
 		return reg.Service == u.Service
 	}
-	return reg.Address == u.Address && era == u.Era && reg.Revision > u.Revision
+	return reg.Address == u.Address && reg.Revision > u.Revision && u.listedBefore(by)
+}
+
+// listedBefore reports whether it is certain that the run was listed before v, in the same era, so that it cannot have replaced v, whatever the clocks
+// say. If both were first listed together, or v by an older listing than the run, it is not.
+func (u *Upstream) listedBefore(v *Upstream) bool {
+	return u.Era == v.Era && u.first.list < v.first.list && u.first.revision < v.first.revision
+}
+
+// enterEra records a listing of the run in an era, if it is the first one.
+func (u *Upstream) enterEra(era model.Era, first firstListing) {
+	if u.Era != era {
+		u.Era, u.first = era, first
+	}
 }
 
 // listedIn reports whether the run is known and was last listed in an era.
@@ -123,13 +148,13 @@
 // reinstate records that the run has not ended, as its registration stands: that of a process that has ended is removed. The run at its address beside which
 // it stands, if any, does not end it again.
 func (u *Upstream) reinstate(beside *Upstream) {
-	u.superseded, u.replaced, u.inPlace, u.outlived = false, false, false, beside
+	u.superseded, u.disputed, u.replaced, u.inPlace, u.outlived = false, false, false, false, beside
 }
 
 // Replaced reports whether a later run has taken the ID at another address, or the address under another ID, so that this run has ended for certain, with
 // all flows that carry its tag. A later run under the ID at the address gets the packets of these flows: it resets those that it does not hold.
 func (u *Upstream) Replaced() bool {
-	return u.superseded || (u.replaced && !u.inPlace)
+	return (u.superseded && !u.disputed) || (u.replaced && !u.inPlace)
 }
 
 // Ended reports whether the run has ended, with all its flows: it was replaced, or it is gone from the registry and does not answer probes at
