Keep flows of a run when a run from before it stands under its ID

Cause: a caller's open flow was reset (upstream_gone), without a probe, while its upstream served. The upstream had started again at another address with an earlier start, as after its clock was set back. A registration of its earlier run, with the later start, stood for ContestTime, which ends the present run without replacing it; but the run that took its place then counted it among the ended runs with an earlier start under the ID, as replaced. Ruled out: runs with an earlier start that stand, which do not count as replacements.

Change: a run that was listed before another under its ID, in the same era, does not count as the one that has replaced it, as at an address.

Measured: TestSoundRunEndedByContest "a run with a later start, listed before" failed before ("not true: !u.Ended(now)"), its 2 other cases held; all pass. The tests of the roster and direct packages pass.

--- a/internal/core/roster/contest_test.go
+++ b/internal/core/roster/contest_test.go
@@ -468,3 +468,59 @@
 		})
 	}
 }
+
+// TestSoundRunEndedByContest guards against flows that are reset, and an upstream that is not used again, because a registration that contradicts its run
+// has stood for ContestTime, as when the upstream could not write meanwhile.
+func TestSoundRunEndedByContest(t *testing.T) {
+	own := func(rev model.Revision) model.Registration { return runOf(presentBoot, rev) }
+	cases := map[string]struct {
+		// before is listed before the own registration, and odd stands.
+		before model.Registration
+		change func(*model.Registration)
+	}{
+		"an earlier run":                {change: func(reg *model.Registration) { *reg = runOf(earlierBoot, reg.Revision) }},
+		"an earlier run, listed before": {before: runOf(earlierBoot, 2), change: func(reg *model.Registration) { *reg = runOf(earlierBoot, reg.Revision) }},
+		"a run with a later start, listed before": {
+			before: runOf(presentBoot+20, 2), change: func(reg *model.Registration) { *reg = runOf(presentBoot+20, reg.Revision) },
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.NameService("claims")
+			now := afterGrace
+			standing := func(reg model.Registration) {
+				for range 8 {
+					r.Sync(now, listing(reg))
+					r.Confirm(now, now)
+					now = now.Add(time.Second)
+				}
+			}
+			if tc.before.ID != "" {
+				standing(tc.before)
+			}
+			standing(own(5))
+			u := r.Get("a")
+			is.Equal(u.Boot, presentBoot)
+			odd := own(9)
+			tc.change(&odd)
+			standing(odd)
+			is.Equal(r.Get("a").Boot, odd.Boot)
+			is.Equal(u.State, roster.StateGone)
+			is.True(!u.Ended(now))
+			is.True(!u.Replaced())
+			is.Equal(r.ByTag("orders", u.Tag), u)
+			r.Sync(now, listing(own(20)))
+			is.True(!u.Replaced())
+			standing(own(20))
+			is.Equal(r.Get("a"), u)
+			is.True(r.Usable(u))
+			odd.Revision = 25
+			r.Sync(now, listing(odd))
+			is.Equal(r.Get("a"), u)
+			is.True(!u.Replaced())
+		})
+	}
+}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -93,13 +93,14 @@
 }
 
 // replacedBy reports whether reg, which is of the run by, is of a later run under the ID or at the address. The clocks of two machines may differ, so at
-// the address the registration must have been written later as well, and by must have been listed later.
+// the address the registration must have been written later as well, and by must have been listed later. The clock of one machine may have been set back,
+// so under the ID as well, by must not have been listed before.
 func (u *Upstream) replacedBy(by *Upstream, reg *model.Registration) bool {
 	if u.Boot == 0 || reg.Boot <= u.Boot {
 		return false
 	}
 	if reg.ID == u.ID {
-		return reg.Service == u.Service
+		return reg.Service == u.Service && !by.listedBefore(u)
 	}
 	return reg.Address == u.Address && reg.Revision > u.Revision && u.listedBefore(by)
 }
