Keep packets at their upstream while an entry with its tag names another address

Cause: packets of a caller's open flow went to another address while their upstream served. Another writer's entry under the upstream's ID had its start and its service, so its tag, but another address, and stood for ContestTime: the run in use took over the address, with all flows. The same came after the upstream's own registration was lost. Ruled out: entries that name another service or start, which have another tag.

Change: an entry that shares its tag with a known run, at another address, is applied only if that run does not answer probes, or once no flow with the tag can be open. Until then the upstream gets no new flows, and its next heartbeat settles the contest.

--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -8,7 +8,7 @@
 	"hawthorncourse/internal/core/model"
 )
 
-// ContestTime is how long a registration that contradicts a known run must stand before it is applied. A late write stands for less: the running
+// ContestTime is how long a registration that contradicts a known run must stand at least before it is applied. A late write stands for less: the running
 // upstream overwrites it at its next heartbeat, or the platform removes it after three heartbeats without a write.
 const ContestTime = 5 * time.Second
 
@@ -96,12 +96,12 @@
 	return (u.Boot == 0 && reg.Boot != 0) || (!r.named[u.Service] && r.named[reg.Service])
 }
 
-// settleContests applies the registrations that have stood for ContestTime according to a confirmation by the store. A run that one of them ends does
+// settleContests applies the registrations that have stood for long enough according to a confirmation by the store. A run that one of them ends does
 // not count as replaced: its flows end only if it does not answer probes.
 func (r *Roster) settleContests(now, confirmedAt model.Instant) {
 	for _, id := range slices.Sorted(maps.Keys(r.contests)) {
 		c := r.contests[id]
-		if confirmedAt.Sub(c.since) < ContestTime {
+		if confirmedAt.Sub(c.since) < r.contestTime(now, c) {
 			continue
 		}
 		if u := r.current[id]; u != nil {
@@ -114,6 +114,17 @@
 	}
 }
 
+// contestTime returns how long a contested registration must stand. One that shares its tag with a known run, at another address, would take over the
+// packets of that run's flows: while the run answers probes, none of them may be open any more.
+func (r *Roster) contestTime(now model.Instant, c *contest) time.Duration {
+	known := r.run(&c.registration)
+	if known == nil || known.Address == c.registration.Address || known.Replaced() || known.Health.ConfirmedUnreachable(now) {
+		return ContestTime
+	}
+	known.Health.MarkSuspect(now)
+	return max(ContestTime, r.cfg.TagRetention)
+}
+
 // sameRun reports whether two registrations under one ID are of the same run.
 func sameRun(a, b *model.Registration) bool {
 	return a.Boot == b.Boot && a.Service == b.Service && a.Address == b.Address
--- a/internal/core/roster/contest_test.go
+++ b/internal/core/roster/contest_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/roster"
 )
@@ -524,3 +525,63 @@
 		})
 	}
 }
+
+// TestEntryAtOtherAddressStands guards against packets of open flows that go elsewhere because an entry with the start of their upstream, so with their tag,
+// but another address has stood for ContestTime.
+func TestEntryAtOtherAddressStands(t *testing.T) {
+	own, odd := runOf(presentBoot, 5), runOf(presentBoot, 9)
+	odd.Address = netip.MustParseAddrPort("10.0.0.250:80")
+	fail := func(u *roster.Upstream, now model.Instant) {
+		u.Health.MarkSuspect(now)
+		for range 3 {
+			u.Health.FinishProbe(now, health.OutcomeFailed)
+		}
+	}
+	cases := map[string]struct {
+		// first are listed before the entry.
+		first []model.Listing[model.Registration]
+		// stands is how long the entry stands.
+		stands time.Duration
+		// silent is set if the upstream does not answer probes, and moved if packets go to the address of the entry at last.
+		silent, moved bool
+	}{
+		"over the own entry":                               {first: []model.Listing[model.Registration]{listing(own)}, stands: 8 * time.Second},
+		"after the own entry was lost":                     {first: []model.Listing[model.Registration]{listing(own), listing()}, stands: 8 * time.Second},
+		"the upstream does not answer":                     {first: []model.Listing[model.Registration]{listing(own)}, stands: 8 * time.Second, silent: true, moved: true},
+		"the upstream does not answer, its entry was lost": {first: []model.Listing[model.Registration]{listing(own), listing()}, stands: 8 * time.Second, silent: true, moved: true},
+		"the upstream does not answer at first":            {first: []model.Listing[model.Registration]{listing(own)}, stands: 4 * time.Second, silent: true},
+		"longer than a flow lives":                         {first: []model.Listing[model.Registration]{listing(own)}, stands: 61 * time.Second, moved: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			for _, list := range tc.first {
+				r.Sync(afterGrace, list)
+			}
+			u := r.ByTag("orders", tagOf(own))
+			for now := lateWrite; now <= lateWrite.Add(tc.stands); now = now.Add(time.Second) {
+				if tc.silent {
+					fail(u, now)
+				}
+				r.Sync(now, listing(odd))
+				r.Confirm(now, now)
+			}
+			is.Equal(r.ByTag("orders", u.Tag).Address == odd.Address, tc.moved)
+			is.True(!u.Replaced())
+			if tc.moved {
+				is.True(r.Usable(r.Get("a")))
+				return
+			}
+			is.Equal(len(r.ByService("orders")) > 0 && r.Usable(u), false)
+			is.True(u.Health.Suspect())
+			last := own
+			last.Revision = 20
+			r.Sync(lateWrite.Add(tc.stands), listing(last))
+			is.Equal(r.Get("a"), u)
+			is.True(r.Usable(u))
+			is.Equal(u.Address, own.Address)
+		})
+	}
+}
