Use an upstream again at its next heartbeat after an entry stood under its ID

Cause: an upstream got no new flows for ContestTime more after its registration was back. Another writer's entry under its ID, of another service, had stood for ContestTime, as the upstream could not write meanwhile, and the entry's run then counted as the present one, which each heartbeat of the upstream contradicted. Its open flows went on while it answered probes, which held before. Ruled out: entries that name no service or no start, which the next heartbeat corrected at once.

Change: a registration of a run that was ended by an entry of another identity is applied when it is listed, unless a later run has replaced that run. A run that was ended by one with another start is still used again only after ContestTime, as its heartbeat may be late.

Measured: TestSoundRunEndedByContest, 3 of 8 cases failed before ("false != true"); all pass. The tests of the roster and direct packages pass.

--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -47,7 +47,7 @@
 	switch {
 	case u == nil:
 		return r.contradictedEnd(reg, era)
-	case u.isRun(reg) || r.corrects(reg, u):
+	case u.isRun(reg) || r.corrects(reg, u) || r.returns(u, reg):
 		return nil, 0
 	case u.difference(reg) == CauseOtherIdentity:
 		return u, CauseOtherIdentity
@@ -96,6 +96,12 @@
 	return (u.Boot == 0 && reg.Boot != 0) || (!r.named[u.Service] && r.named[reg.Service])
 }
 
+// returns reports whether a registration is of a run that was ended because an entry of another identity, which u comes from, stood under its ID.
+func (r *Roster) returns(u *Upstream, reg *model.Registration) bool {
+	known := r.run(reg)
+	return known != nil && known.displaced && !known.replaced && !known.superseded && known.isRun(reg) && u.difference(reg) == CauseOtherIdentity
+}
+
 // settleContests applies the registrations that have stood for long enough according to a confirmation by the store. A run that one of them ends does
 // not count as replaced: its flows end only if it does not answer probes.
 func (r *Roster) settleContests(now, confirmedAt model.Instant) {
@@ -106,6 +112,7 @@
 		}
 		if u := r.current[id]; u != nil {
 			r.end(now, u, c.cause, &c.registration)
+			u.displaced = c.cause == CauseOtherIdentity
 		}
 		if known := r.run(&c.registration); known != nil {
 			known.reinstate(r.addresses[known.Address])
--- a/internal/core/roster/contest_test.go
+++ b/internal/core/roster/contest_test.go
@@ -478,9 +478,16 @@
 		// before is listed before the own registration, and odd stands.
 		before model.Registration
 		change func(*model.Registration)
+		// atOnce is set if the next heartbeat must be applied when it is listed. That of a run with another start may be late.
+		atOnce bool
 	}{
-		"an earlier run":                {change: func(reg *model.Registration) { *reg = runOf(earlierBoot, reg.Revision) }},
-		"an earlier run, listed before": {before: runOf(earlierBoot, 2), change: func(reg *model.Registration) { *reg = runOf(earlierBoot, reg.Revision) }},
+		"another service":                   {change: func(reg *model.Registration) { reg.Service = "claims" }, atOnce: true},
+		"another service, a later start":    {change: func(reg *model.Registration) { reg.Service, reg.Boot = "claims", presentBoot+1 }, atOnce: true},
+		"another service, an earlier start": {change: func(reg *model.Registration) { reg.Service, reg.Boot = "claims", presentBoot-1 }, atOnce: true},
+		"a service that is not named":       {change: func(reg *model.Registration) { reg.Service = "monitoring" }, atOnce: true},
+		"no start":                          {change: func(reg *model.Registration) { reg.Boot = 0 }, atOnce: true},
+		"an earlier run":                    {change: func(reg *model.Registration) { *reg = runOf(earlierBoot, reg.Revision) }},
+		"an earlier run, listed before":     {before: runOf(earlierBoot, 2), change: func(reg *model.Registration) { *reg = runOf(earlierBoot, reg.Revision) }},
 		"a run with a later start, listed before": {
 			before: runOf(presentBoot+20, 2), change: func(reg *model.Registration) { *reg = runOf(presentBoot+20, reg.Revision) },
 		},
@@ -515,6 +522,7 @@
 			is.Equal(r.ByTag("orders", u.Tag), u)
 			r.Sync(now, listing(own(20)))
 			is.True(!u.Replaced())
+			is.Equal(r.Get("a") == u && r.Usable(u), tc.atOnce)
 			standing(own(20))
 			is.Equal(r.Get("a"), u)
 			is.True(r.Usable(u))
@@ -585,3 +593,31 @@
 		})
 	}
 }
+
+// TestLateHeartbeatOfDisplacedRun guards against new flows to a run that has ended: an entry of another service has taken its place, then a run that
+// started after it, and then its last heartbeat is executed.
+func TestLateHeartbeatOfDisplacedRun(t *testing.T) {
+	for name, boot := range map[string]model.BootID{"a later start": presentBoot + 1, "an earlier start, as the clock was set back": presentBoot - 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.NameService("claims")
+			odd := runOf(presentBoot, 9)
+			odd.Service = "claims"
+			now := afterGrace
+			for _, reg := range []model.Registration{runOf(presentBoot, 5), odd, runOf(boot, 12)} {
+				for range 8 {
+					r.Sync(now, listing(reg))
+					r.Confirm(now, now)
+					now = now.Add(time.Second)
+				}
+			}
+			u := r.Get("a")
+			is.Equal(u.Boot, boot)
+			r.Sync(now, listing(runOf(presentBoot, 15)))
+			is.Equal(r.Get("a"), u)
+			is.True(!u.Replaced())
+		})
+	}
+}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -67,6 +67,8 @@
 	superseded, replaced bool
 	// disputed is true if superseded is set and the registry does not tell which of the two runs is the later one, as far as this instance has seen.
 	disputed bool
+	// displaced is true while the run is gone because an entry that names another service or no start has stood under its ID.
+	displaced bool
 	// inPlace is true if replaced is set and each later run under the ID has the same address. Flows that were opened there before the registry listed
 	// that run may be its own, though they carry the tag of this one.
 	inPlace bool
