Leave a tag with the run that has it when another run has the same

Cause: packets of a caller's open flows went to another upstream while their own served. Two runs of a service can have one tag, and the run that was listed last took it over. Ruled out: tags of two services, which are looked up by service.

Change: a tag stays with the run that has it until the flows of that run have ended or its tag expires. The other run gets no new flows until then; each confirmation of the registry tries again. Instances that have listed the two in different orders may still differ.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -33,7 +33,7 @@
 	cfg Config
 	// current holds the latest run of each upstream; none is in StateGone.
 	current map[model.UpstreamID]*Upstream
-	// tags holds all runs, including those in StateGone.
+	// tags holds all runs, including those in StateGone, but for those whose tag another run of their service has.
 	tags map[tagKey]*Upstream
 	// services holds the current runs by service, in no particular order.
 	services map[model.ServiceID][]*Upstream
@@ -153,6 +153,9 @@
 func (r *Roster) Confirm(now, confirmedAt model.Instant) {
 	r.confirmedAt = max(r.confirmedAt, confirmedAt)
 	r.compareNewlyNamed(now)
+	for _, u := range r.matching(func(u *Upstream) bool { return u.untagged }) {
+		r.claimTag(now, u)
+	}
 	if confirmedAt >= r.retainUntil {
 		r.releaseOut()
 	}
@@ -228,9 +231,10 @@
 	return r.all
 }
 
-// Usable reports whether the upstream may get new flows: it is listed or missing, not draining, and its failure domain is in service.
+// Usable reports whether the upstream may get new flows: it is listed or missing, not draining, packets with its tag go to it, and its failure domain is
+// in service.
 func (r *Roster) Usable(u *Upstream) bool {
-	if u.Draining || (u.State != StateListed && u.State != StateMissing) {
+	if u.Draining || u.untagged || (u.State != StateListed && u.State != StateMissing) {
 		return false
 	}
 	_, out := r.outSince[u.Domain]
@@ -382,10 +386,19 @@
 	u.serviceIndex, u.allIndex = len(list), len(r.all)
 	r.services[reg.Service] = append(list, u)
 	r.all = append(r.all, u)
-	r.tags[u.key()] = u
+	r.claimTag(now, u)
 	return u
 }
 
+// claimTag lets packets with the tag of a run go to it, unless the flows of another run with the tag may be open.
+func (r *Roster) claimTag(now model.Instant, u *Upstream) {
+	holder := r.tags[u.key()]
+	u.untagged = holder != nil && !holder.isSameStart(u) && !holder.Ended(now)
+	if !u.untagged {
+		r.tags[u.key()] = u
+	}
+}
+
 // firstListing returns the listing that a registration is applied from, as the first one of a run.
 func (r *Roster) firstListing(reg *model.Registration) firstListing {
 	return firstListing{list: r.lists, revision: reg.Revision}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -69,6 +69,8 @@
 	disputed bool
 	// displaced is true while the run is gone because an entry that names another service or no start has stood under its ID.
 	displaced bool
+	// untagged is true while packets with the tag go to another run of the service.
+	untagged bool
 	// inPlace is true if replaced is set and each later run under the ID has the same address. Flows that were opened there before the registry listed
 	// that run may be its own, though they carry the tag of this one.
 	inPlace bool
@@ -130,6 +132,11 @@
 	return sameRun(&u.Registration, reg)
 }
 
+// isSameStart reports whether v is this run as well, as it was listed before.
+func (u *Upstream) isSameStart(v *Upstream) bool {
+	return u.ID == v.ID && u.Boot == v.Boot
+}
+
 // difference says how reg, which is not of this run, differs from its registration.
 func (u *Upstream) difference(reg *model.Registration) Cause {
 	switch {
