Know the tag of a lost run for longer than a flow lives

Cause: a caller's open flow was reset (upstream_gone) while its upstream served. The upstream and an instance near it were cut off from the store for longer than a flow lives: the registration was lost, and another instance forgot the tag after the life of a flow, while the first one still opened flows at the upstream. A packet of such a flow that came to the other instance had a tag that no registration was known to have. Ruled out: runs that were replaced, which have ended, so that no flow with their tag is younger.

Change: the tag of a run whose registration was lost and that was not replaced is known for an hour. Packets with it are held and dropped; once the upstream registers again, they go to it. Packets are assigned to a lost run for the life of a flow, as before.

--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -63,7 +63,7 @@
 		switch {
 		case p.expired(now):
 			e.drop(&p.seg, nil, model.ReasonHeldTooLong)
-		case p.seg.Syn || !e.waits(&p.seg):
+		case p.seg.Syn || !e.waits(now, &p.seg):
 			e.dispatch(now, &p.seg)
 		default:
 			e.held = append(e.held, *p)
@@ -72,21 +72,21 @@
 }
 
 // waits reports whether a held packet still cannot be decided upon.
-func (e *Engine) waits(seg *model.Segment) bool {
+func (e *Engine) waits(now model.Instant, seg *model.Segment) bool {
 	if e.routes[seg.Flow.Service] == nil {
 		return e.waitsForRoute(seg)
 	}
-	return e.waitsForTag(seg)
+	return e.waitsForTag(now, seg)
 }
 
 // waitsForTag reports whether the upstream of a packet may be one that this instance does not know yet.
-func (e *Engine) waitsForTag(seg *model.Segment) bool {
+func (e *Engine) waitsForTag(now model.Instant, seg *model.Segment) bool {
 	r := e.routes[seg.Flow.Service]
 	if r == nil || seg.Tag == 0 || e.resolve(r, nil, seg) != nil {
 		return false
 	}
 	since := e.unknownTags.Peek(unknownTag{service: seg.Flow.Service, tag: seg.Tag})
-	return since == nil || !e.isDeadTag(seg.Tag, *since)
+	return since == nil || !e.isDeadTag(now, seg.Tag, *since)
 }
 
 // expireHeld drops the packets that have been held for too long.
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -110,9 +110,9 @@
 }
 
 // isDeadTag reports whether no upstream that serves has an unresolved tag, first seen at since. Other instances may send the flows of a route to a run
-// that this one does not use, or to a service of a configuration that this one has skipped.
-func (e *Engine) isDeadTag(tag model.RoutingTag, since model.Instant) bool {
-	return e.roster.Complete(since) && !e.roster.Knows(tag)
+// that this one does not use any more or has never used, or to a service of a configuration that this one has skipped.
+func (e *Engine) isDeadTag(now model.Instant, tag model.RoutingTag, since model.Instant) bool {
+	return e.roster.Complete(since) && !e.roster.Knows(now, tag)
 }
 
 // handleUnresolved handles a packet whose upstream is not known. The packet is held at first, as the upstream may be so new that only
@@ -125,7 +125,7 @@
 	}
 	key := unknownTag{service: seg.Flow.Service, tag: seg.Tag}
 	since := e.unknownTags.Touch(now, key)
-	if since != nil && e.isDeadTag(seg.Tag, *since) {
+	if since != nil && e.isDeadTag(now, seg.Tag, *since) {
 		e.terminate(seg, f, nil, model.ReasonUpstreamGone)
 		return
 	}
--- a/internal/core/direct/tag_test.go
+++ b/internal/core/direct/tag_test.go
@@ -127,3 +127,38 @@
 	h.advance(20 * time.Millisecond)
 	h.True(reset())
 }
+
+// TestTagOfLostRun guards against flows that are reset because the registration of their upstream has been lost for longer than a flow lives: an instance
+// that is cut off from the store, like the upstream, opens flows there all the time.
+func TestTagOfLostRun(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	tag := tagOf(registration(1, "east"))
+	h.sync(threeUpstreams()[1:]...)
+	for range 20 {
+		h.advance(10 * time.Second)
+		h.engine.Roster().Confirm(h.now, h.now)
+	}
+	for range 5 {
+		h.Equal(h.data(1, feedAddress, tag).Verb, model.VerbHold)
+		h.now = h.now.Add(200 * time.Millisecond)
+		h.engine.Roster().Confirm(h.now, h.now)
+		for _, a := range h.engine.ReleaseHeld(h.now) {
+			h.Equal(a.Verb, model.VerbDrop)
+		}
+	}
+	h.sync(threeUpstreams()...)
+	h.Equal(h.data(1, feedAddress, tag).Verb, model.VerbForward)
+}
+
+// TestTagOfReplacedRunExpires checks that a flow is reset at once if its upstream was replaced longer ago than a flow lives.
+func TestTagOfReplacedRunExpires(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	next := registration(1, "east")
+	next.Boot, next.Revision, next.Address = 2, 9, netip.MustParseAddrPort("10.0.0.9:80")
+	h.sync(append(threeUpstreams()[1:], next)...)
+	h.advance(61 * time.Second)
+	h.Equal(h.data(1, feedAddress, tagOf(registration(1, "east"))).Verb, model.VerbHold)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.engine.Roster().Confirm(h.now, h.now)
+	h.Equal(h.data(1, feedAddress, tagOf(registration(1, "east"))).Verb, model.VerbReset)
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -15,9 +15,17 @@
 // about two seconds; half a second is added for the propagation delay.
 const OutageGrace = 2500 * time.Millisecond
 
+const (
+	// LostTagRetention is how long the tag of a run whose registration was lost is known: as long as regions and the store may lose each other, an
+	// instance that is cut off like the upstream opens flows there. A packet with the tag shows that the upstream has served within the life of a flow.
+	LostTagRetention = time.Hour
+	// sweepInterval bounds the work for outdated tags.
+	sweepInterval = time.Second
+)
+
 // Config is the configuration of a Roster.
 type Config struct {
-	// TagRetention is how long the tag of an ended upstream remains known. It must be the maximum lifetime of a flow.
+	// TagRetention is how long packets with the tag of an ended upstream are assigned to it. It must be the maximum lifetime of a flow.
 	TagRetention time.Duration
 }
 
@@ -65,8 +73,11 @@
 	newlyNamed map[model.ServiceID]bool
 	// contests holds the registrations that contradict a known run, by ID; only those that the last listing contained.
 	contests map[model.UpstreamID]*contest
-	// unused holds when a registration with the tag was last listed without being applied. Other instances may use its run.
+	// unused holds until when other instances may use a run with the tag that this one does not: its registration was listed without being applied, or
+	// was lost.
 	unused map[model.RoutingTag]model.Instant
+	// sweepAt is when the next outdated tags are removed from unused.
+	sweepAt model.Instant
 	// lists is the number of complete listings.
 	lists uint64
 	// refusals collects refused registrations until TakeRefusals returns them for the log.
@@ -188,8 +199,14 @@
 		if r.tags[oldest.key()] == oldest {
 			delete(r.tags, oldest.key())
 		}
+		if !oldest.Replaced() {
+			r.unused[oldest.Tag] = oldest.Since.Add(max(LostTagRetention, r.cfg.TagRetention))
+		}
+	}
+	if now >= r.sweepAt {
+		maps.DeleteFunc(r.unused, func(_ model.RoutingTag, until model.Instant) bool { return now >= until })
+		r.sweepAt = now.Add(sweepInterval)
 	}
-	maps.DeleteFunc(r.unused, func(_ model.RoutingTag, listedAt model.Instant) bool { return now.Sub(listedAt) >= r.cfg.TagRetention })
 }
 
 // ByTag returns the run of an upstream of the service with the tag, or nil. The result may be in StateGone.
@@ -197,10 +214,10 @@
 	return r.tags[tagKey{service: service, tag: tag}]
 }
 
-// Knows reports whether a tag is of any registration that was listed, applied or not, of any service. A flow with the tag may be open at its run even
-// if ByTag does not find it among the services of the flow's route.
-func (r *Roster) Knows(tag model.RoutingTag) bool {
-	if _, unused := r.unused[tag]; unused {
+// Knows reports whether a tag is of any registration that was listed, applied or not, of any service. A flow with the tag may be open at its run even if
+// ByTag does not find it among the services of the flow's route. The tags of replaced runs are known for TagRetention only, as ByTag finds them.
+func (r *Roster) Knows(now model.Instant, tag model.RoutingTag) bool {
+	if now < r.unused[tag] {
 		return true
 	}
 	for service := range r.services {
@@ -350,7 +367,8 @@
 // keepUnused records that a registration was listed that was not applied, unless it is an older write of the run in use.
 func (r *Roster) keepUnused(now model.Instant, reg *model.Registration) {
 	if u := r.current[reg.ID]; u == nil || !u.isRun(reg) {
-		r.unused[routingTag(reg)] = now
+		tag := routingTag(reg)
+		r.unused[tag] = max(r.unused[tag], now.Add(r.cfg.TagRetention))
 	}
 }
 
--- a/internal/core/roster/tag_test.go
+++ b/internal/core/roster/tag_test.go
@@ -108,3 +108,30 @@
 		})
 	}
 }
+
+// TestKnows checks for how long the tag of a run that has left is known: longer if its registration was lost than if it was replaced.
+func TestKnows(t *testing.T) {
+	cases := map[string]struct {
+		next []model.Registration
+		want time.Duration
+	}{
+		"lost":     {want: roster.LostTagRetention},
+		"replaced": {next: []model.Registration{runOf(presentBoot, 9)}, want: time.Minute},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			tag := tagOf(runOf(earlierBoot, 4))
+			is.True(!r.Knows(0, tag))
+			r.Sync(0, listing(runOf(earlierBoot, 4)))
+			r.Sync(afterGrace, listing(tc.next...))
+			for _, rest := range []time.Duration{time.Millisecond, 0} {
+				now := afterGrace.Add(tc.want - rest)
+				r.ExpireTags(now)
+				is.Equal(r.Knows(now, tag), rest > 0)
+			}
+		})
+	}
+}
