Reset no unknown tag while a flow may be open at an unreadable registration

Cause: as soon as an entry that could not be decoded was removed, unknown tags were reset again (upstream_gone). The entry may have been over the registration of an upstream that only other instances have read, and that still serves their flows. Ruled out: upstreams that this instance knew before, whose tags remain known.

Change: the roster is complete only once all registrations could be decoded for the life of a flow, as for gaps.

Measured: TestComplete "unreadable registration, removed since" failed before ("true != false") and passes; "removed for the life of a flow" passed before and passes. The tests of the roster and direct packages pass.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -57,6 +57,8 @@
 	confirmedAt model.Instant
 	// hasUnreadable is true while a registration cannot be decoded; it may belong to a running upstream that is not in the roster.
 	hasUnreadable bool
+	// readableSince is when hasUnreadable last became false.
+	readableSince model.Instant
 	// outSince maps the failure domains that operators have taken out of service to the time at which that became known.
 	outSince map[model.DomainID]model.Instant
 	// retainedOut holds the domains in outSince that the store has not listed since it was restored from an older copy.
@@ -119,7 +121,7 @@
 
 // Sync applies a complete listing. Upstreams that it does not contain are missing during the grace period, and gone after it.
 func (r *Roster) Sync(now model.Instant, list model.Listing[model.Registration]) {
-	r.hasUnreadable = len(list.Unreadable) > 0
+	r.setUnreadable(now, len(list.Unreadable) > 0)
 	listed := make(map[model.UpstreamID]bool, len(list.Items))
 	for i := range list.Items {
 		listed[list.Items[i].ID] = r.upsert(now, &list.Items[i], list.Era)
@@ -185,10 +187,10 @@
 }
 
 // Complete reports whether Knows is true for the tag of every upstream that a flow of the given time can belong to: the store has confirmed the
-// roster since then, and without a gap for as long as a flow lives, and all registrations could be decoded. A roster that is younger may lack an
+// roster since then, and without a gap for as long as a flow lives, and all registrations could be decoded for that time. A roster that is younger may lack an
 // upstream that serves, as its registration may have expired before.
 func (r *Roster) Complete(since model.Instant) bool {
-	return r.confirmedAt > since && r.confirmedAt.Sub(r.graceUntil) >= r.cfg.TagRetention && !r.hasUnreadable
+	return r.confirmedAt > since && r.confirmedAt.Sub(max(r.graceUntil, r.readableSince)) >= r.cfg.TagRetention && !r.hasUnreadable
 }
 
 // ExpireTags removes the tags of upstreams that ended at least TagRetention ago.
@@ -422,6 +424,14 @@
 	return firstListing{list: r.lists, revision: reg.Revision}
 }
 
+// setUnreadable records whether a listing has a registration that cannot be decoded.
+func (r *Roster) setUnreadable(now model.Instant, unreadable bool) {
+	if r.hasUnreadable && !unreadable {
+		r.readableSince = now
+	}
+	r.hasUnreadable = unreadable
+}
+
 func (r *Roster) markUnreadable(now model.Instant, id model.UpstreamID) {
 	if u := r.current[id]; u != nil {
 		r.setState(now, u, StateUnreadable)
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -141,6 +141,22 @@
 				r.Confirm(afterGrace.Add(2), afterGrace.Add(1))
 			},
 		},
+		"unreadable registration, removed since": {
+			steps: func(r *roster.Roster) {
+				r.Sync(afterGrace.Add(-5*time.Second), model.Listing[model.Registration]{Unreadable: []string{"a"}})
+				r.Sync(afterGrace.Add(-4*time.Second), listing())
+				r.Confirm(afterGrace.Add(2), afterGrace.Add(1))
+			},
+		},
+		"unreadable registration, removed for the life of a flow": {
+			steps: func(r *roster.Roster) {
+				r.Sync(afterGrace.Add(-6*time.Second), model.Listing[model.Registration]{Unreadable: []string{"a"}})
+				r.Sync(afterGrace.Add(-5*time.Second), listing())
+				r.Sync(afterGrace.Add(-4*time.Second), listing())
+				r.Confirm(afterGrace.Add(2), afterGrace.Add(1))
+			},
+			want: true,
+		},
 		"unreadable registration": {
 			steps: func(r *roster.Roster) {
 				r.Sync(afterGrace, model.Listing[model.Registration]{Unreadable: []string{"a"}})
