--- a/internal/proof/direct/contest_test.go
+++ b/internal/proof/direct/contest_test.go
@@ -194,9 +194,9 @@
 
 // request sends a request on a flow that the test has opened.
 func (s *system) request(f *stand.Flow) error {
-	s.requests++
+	n := s.requests.Add(1)
 	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
 	defer cancel()
-	_, err := f.Request(ctx, fmt.Sprintf("open-%d", s.requests))
+	_, err := f.Request(ctx, fmt.Sprintf("open-%d", n))
 	return err
 }
--- a/internal/proof/direct/harness_test.go
+++ b/internal/proof/direct/harness_test.go
@@ -62,7 +62,7 @@
 	upstreams []*stand.Upstream
 	load      *crowd.Generator
 	// requests counts the requests that the test itself has sent, to number them.
-	requests int
+	requests atomic.Int64
 }
 
 // newSystem starts two instances and three upstreams in each of two failure domains, and the load. It stops them when the test ends. The edits
