--- a/internal/proof/direct/contest_test.go
+++ b/internal/proof/direct/contest_test.go
@@ -194,8 +194,13 @@
 
 // request sends a request on a flow that the test has opened.
 func (s *system) request(f *stand.Flow) error {
+	return s.requestWithin(f, requestTimeout)
+}
+
+// requestWithin sends a request on a flow that the test has opened, and repeats its packets until the timeout.
+func (s *system) requestWithin(f *stand.Flow, timeout time.Duration) error {
 	n := s.requests.Add(1)
-	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	_, err := f.Request(ctx, fmt.Sprintf("open-%d", n))
 	return err
