End flows of a dead run once the run at its address answers a flow

Cause: callers waited for their deadline on flows of a dead run, if an instance had first listed it together with the run that uses its address now. Which of the two had ended was left open, and probes of the dead one go to the address, where the other answers them. Ruled out: runs whose order is certain, which end at once.

Change: such a run has ended for certain once the other one has answered a flow of this instance since both were listed: a process takes packets for its own ID only, and one process uses the address. New flows go to the other run, so that this is known within its first handshake.

--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -65,8 +65,9 @@
 	Health health.Tracker
 	// superseded is true once a later run uses the address, as far as start and revision tell, and replaced once there is a later run under the ID.
 	superseded, replaced bool
-	// disputed is true if superseded is set and the registry does not tell which of the two runs is the later one, as far as this instance has seen.
-	disputed bool
+	// rival is the run that uses the address if superseded is set and the registry does not tell which of the two is the later one, as far as this instance
+	// has seen; otherwise nil.
+	rival *Upstream
 	// displaced is true while the run is gone because an entry that names another service or no start has stood under its ID.
 	displaced bool
 	// untagged is true while packets with the tag go to another run of the service.
@@ -158,13 +159,19 @@
 // reinstate records that the run has not ended, as its registration stands: that of a process that has ended is removed. The run at its address beside which
 // it stands, if any, does not end it again.
 func (u *Upstream) reinstate(beside *Upstream) {
-	u.superseded, u.disputed, u.replaced, u.inPlace, u.outlived = false, false, false, false, beside
+	u.superseded, u.rival, u.replaced, u.inPlace, u.outlived = false, nil, false, false, beside
 }
 
 // Replaced reports whether a later run has taken the ID at another address, or the address under another ID, so that this run has ended for certain, with
 // all flows that carry its tag. A later run under the ID at the address gets the packets of these flows: it resets those that it does not hold.
 func (u *Upstream) Replaced() bool {
-	return (u.superseded && !u.disputed) || (u.replaced && !u.inPlace)
+	return (u.superseded && !u.disputed()) || (u.replaced && !u.inPlace)
+}
+
+// disputed reports whether the run may serve although it counts as superseded. It does not once its rival has answered a flow of this instance since: a
+// process takes packets for its own ID only, and one process uses the address.
+func (u *Upstream) disputed() bool {
+	return u.rival != nil && u.rival.Health.LastSuccess() <= u.Since
 }
 
 // Ended reports whether the run has ended, with all its flows: it was replaced, or it is gone from the registry and does not answer probes at
