Keep packets at the upstream that answered this instance's SYN

Cause: callers saw an open flow reset, or its packets go to another upstream, though its own serves (FLOW). Until the caller had acknowledged data, the tag of an upstream that did not get the SYN from this instance was followed, although the sequence number was that of the flow. A copy of the SYN that went out through another instance, and is answered late, arrives at the caller in just that time. Ruled out: a flow that is open elsewhere. The caller's first packet went to the upstream that its tag names, which would have answered with a reset.

Change: a flow remembers that this instance has sent the SYN to its upstream and that the caller's first packet had its tag; packets with near sequence numbers then stay there. It does not hold for a first packet without a tag, which does not show who answered. TestTagChanged and the cases of TestTagOfOtherInstance, whose flows were opened elsewhere, stay as they were.

--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -19,6 +19,8 @@
 	synAt model.Instant
 	// established is set once a packet of the caller shows that it has received a packet from up.
 	established bool
+	// opened is set if this instance has sent the SYN to up, and the caller's first packet had the tag of up.
+	opened bool
 	// answered is set once the caller has acknowledged data in a packet with the tag of up, which shows that the flow is open there.
 	answered bool
 	// counted is set while the flow is included in the load of up.
@@ -84,7 +86,7 @@
 // follow moves the flow to the upstream that the tag of its caller's packet names. It returns ReasonTagChanged if the flow was established at another.
 func (f *flow) follow(up *roster.Upstream) (reason model.Reason) {
 	if f.established && f.up != up {
-		reason, f.tried, f.answered = model.ReasonTagChanged, nil, false
+		reason, f.tried, f.opened, f.answered = model.ReasonTagChanged, nil, false, false
 	}
 	f.reassign(up)
 	return reason
@@ -92,9 +94,9 @@
 
 // keeps reports whether a packet stays at the upstream of an established flow whatever its tag. A caller echoes the last tag that it has received, so it
 // may be that of another upstream which has answered a copy of the SYN. That is the case if this instance has sent the SYN there, or if
-// the flow's own upstream is known to have answered; any other tag may be that of a flow on a reused port.
+// the flow's own upstream is known to have answered the SYN or data; any other tag may be that of a flow on a reused port.
 func (f *flow) keeps(seg *model.Segment) bool {
-	return f.established && f.isNear(seg.Seq) && (f.answered || f.wasTriedTag(seg.Tag))
+	return f.established && f.isNear(seg.Seq) && (f.opened || f.answered || f.wasTriedTag(seg.Tag))
 }
 
 // seqWindow is above the number of bytes that a caller sends within the time that a packet spends in the network.
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -191,6 +191,7 @@
 		}
 	}
 	f.syn = nil
+	f.opened = seg.Tag == f.up.Tag && f.wasTried(f.up)
 	if len(f.tried) == 1 && f.tried[0] == f.up {
 		f.tried = nil
 	}
