Reset only the flows that still wait here when their upstream fails

Cause: callers saw an open flow reset while its upstream served it through another instance (FLOW). Two failed probes reset the flows that wait for an answer. A flow counted as waiting from a retransmission that this instance saw until an answer that it saw; if routers had moved the flow meanwhile, other instances saw the answers, and it counted as waiting here for as long as its state was kept (15 s). Ruled out: the count of probes, since two suffice by intent for a flow that does wait.

Change: a flow counts as waiting only if the caller's last packet came here within the longest time between two of its retransmissions (1.6 s, and 0.1 s for the way). A caller that still waits sends its data again, and that copy is reset on arrival as before. Within this time, the fault remains possible.

--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -27,6 +27,8 @@
 	counted bool
 	// requestAt is when the last byte of the unanswered request was sent to up; zero if there is none.
 	requestAt model.Instant
+	// seenAt is when the caller's last packet was forwarded to up.
+	seenAt model.Instant
 	// sentSeq is the sequence number after the last byte of data forwarded.
 	sentSeq uint32
 	// ackSeq is the last acknowledgement number of the caller.
@@ -138,6 +140,15 @@
 // retransmitAfter is below the time after which callers retransmit data (200 ms); old data that arrives sooner was reordered in the network.
 const retransmitAfter = 150 * time.Millisecond
 
+// retransmitWithin is above the longest time between two retransmissions of a caller (1.6 s).
+const retransmitWithin = 1700 * time.Millisecond
+
+// waits reports whether the caller has retransmitted unanswered data here, and not longer ago than its next copy takes. Otherwise, routers
+// may have moved the flow, and other instances may have seen an answer.
+func (f *flow) waits(now model.Instant) bool {
+	return f.established && f.timedOut && f.requestAt != 0 && now.Sub(f.seenAt) <= retransmitWithin
+}
+
 // isRetransmission reports whether the packet retransmits data that is still unanswered; it is false for a nil flow, which this
 // instance has not seen before.
 func (f *flow) isRetransmission(now model.Instant, seg *model.Segment) bool {
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -151,6 +151,7 @@
 
 // observe updates the state of the flow and the health of its upstream from a caller's packet.
 func (e *Engine) observe(now model.Instant, seg *model.Segment, f *flow) {
+	f.seenAt = now
 	if !f.established {
 		e.finishHandshake(now, seg, f)
 	}
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -103,7 +103,7 @@
 	e.actions = e.actions[:0]
 	e.recordProbe(now, u, outcome)
 	if outcome == health.OutcomeFailed && u.Health.Unreachable(now, true) {
-		e.resetWaitingFlows(u)
+		e.resetWaitingFlows(now, u)
 	}
 	if e.probesWaiting {
 		e.startDueProbes(now)
@@ -113,13 +113,13 @@
 
 // resetWaitingFlows resets the idempotent flows that wait for an unreachable upstream: their callers' next retransmission may come after
 // the request's deadline.
-func (e *Engine) resetWaitingFlows(u *roster.Upstream) {
+func (e *Engine) resetWaitingFlows(now model.Instant, u *roster.Upstream) {
 	if e.cfg.Disabled.Resets {
 		return
 	}
 	e.flows.Each(func(key model.FlowKey, f *flow) bool {
 		r := e.routes[key.Service]
-		if f.up == u && f.established && f.timedOut && f.requestAt != 0 && r != nil && r.Kind == model.RouteIdempotent {
+		if f.up == u && f.waits(now) && r != nil && r.Kind == model.RouteIdempotent {
 			e.resetQueue = append(e.resetQueue, key)
 		}
 		return true
