Forward to a flow's own upstream after its tag is forgotten

Cause: callers waited until their deadline on an open flow whose upstream served. The roster forgets the tag of an upstream that the registry has lost after as long as a flow lives, but other instances may open flows there until then, and later. Ruled out: false resets by this; in none of the cases was a flow reset.

Change: a flow's own upstream is used if the roster has forgotten its tag. It still ends if it was replaced, or if its probes fail, which only packets start then.

--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -75,7 +75,8 @@
 }
 
 // resolve returns the upstream of a packet: by its tag among the services of its route, or from the flow's state if it has no tag or if the tag may
-// come from a second answer to the flow's SYN. It returns nil if that is an unknown tag, or if no tag says which of several upstreams has answered.
+// come from a second answer to the flow's SYN. It returns nil if that is an unknown tag, or if no tag says which of several upstreams has answered. The roster
+// may have forgotten the tag of the flow's own upstream, which may still serve.
 func (e *Engine) resolve(r *route, f *flow, seg *model.Segment) *roster.Upstream {
 	tag := seg.Tag
 	if f != nil && f.keeps(seg) {
@@ -87,6 +88,9 @@
 				return up
 			}
 		}
+		if f != nil && f.up.Tag == tag {
+			return f.up
+		}
 		return nil
 	}
 	if f != nil && (f.established || seg.Reset || len(f.tried) < 2) {
