Release held packets to the upstream of their flow

Cause: callers waited for their next retransmission on an open flow. A packet held for an unknown tag was looked at without its flow when the registry changed, so that it stayed held until it expired, although its flow had turned out to be open at a known upstream, and the same packet would have been forwarded on arrival. Ruled out: a reset by this; the packet was dropped.

Change: held packets are looked at with their flow, as on arrival.

Measured: before the fix, TestHeldPacketOfAnsweredFlow failed with "0 != 1" actions. After it, it passes, with the tests of internal/core/direct, internal/bench/replay and internal/run/relay under the race detector.

--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -82,7 +82,7 @@
 // waitsForTag reports whether the upstream of a packet may be one that this instance does not know yet.
 func (e *Engine) waitsForTag(now model.Instant, seg *model.Segment) bool {
 	r := e.routes[seg.Flow.Service]
-	if r == nil || seg.Tag == 0 || e.resolve(r, nil, seg) != nil {
+	if r == nil || seg.Tag == 0 || e.resolve(r, e.flows.Peek(seg.Flow), seg) != nil {
 		return false
 	}
 	since := e.unknownTags.Peek(unknownTag{service: seg.Flow.Service, tag: seg.Tag})
--- a/internal/core/direct/lost_tag_test.go
+++ b/internal/core/direct/lost_tag_test.go
@@ -75,3 +75,18 @@
 		h.Equal(countVerbs(h.engine.ReleaseHeld(h.now))[model.VerbHold], 0)
 	}
 }
+
+// TestHeldPacketOfAnsweredFlow guards against packets that are held until they expire although their flow has turned out to be open at a known upstream.
+func TestHeldPacketOfAnsweredFlow(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	up := h.engine.Roster().ByService("desk")[0]
+	h.Equal(h.send(packet(12345, 201)).Verb, model.VerbHold)
+	h.goesTo(up, packet(up.Tag, 1))
+	seg := packet(up.Tag, 101)
+	seg.AckSeq = 900
+	h.goesTo(up, seg)
+	actions := h.engine.ReleaseHeld(h.now)
+	h.Equal(len(actions), 1)
+	h.Equal(actions[0].Verb, model.VerbForward)
+	h.Equal(actions[0].Upstream, up)
+}
