Keep an open flow at an upstream that is listed again

Cause: packets of an open flow went to another upstream. The flow's own had been lost from the registry until its tag was forgotten, and was then listed again: the roster has a new object with the same tag, so the flow counted as moved, and what was known of its handshake and its answers was dropped. The next packet with the tag of another upstream that had answered the SYN was followed. Ruled out: tags that remain known, whose object returns.

Change: a flow has moved only if the tag differs.

Measured: TestFlowOfReturnedRun failed before ("tag_changed != none") and passes, as do the other tests of the package.

--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -89,7 +89,7 @@
 
 // follow moves the flow to the upstream that the tag of its caller's packet names. It returns ReasonTagChanged if the flow was established at another.
 func (f *flow) follow(up *roster.Upstream) (reason model.Reason) {
-	if f.established && f.up != up {
+	if f.established && f.up.Tag != up.Tag {
 		reason, f.tried, f.opened, f.answered = model.ReasonTagChanged, nil, false, false
 	}
 	f.reassign(up)
--- a/internal/core/direct/lost_tag_test.go
+++ b/internal/core/direct/lost_tag_test.go
@@ -90,3 +90,14 @@
 	h.Equal(actions[0].Verb, model.VerbForward)
 	h.Equal(actions[0].Upstream, up)
 }
+
+// TestFlowOfReturnedRun guards against packets of an open flow that go to another upstream after its own was listed again, whose tag had been forgotten.
+func TestFlowOfReturnedRun(t *testing.T) {
+	h := newHarness(t, threeUpstreams()...)
+	lost := h.lostRun()
+	h.sync(threeUpstreams()...)
+	up := h.engine.Roster().ByTag("desk", lost.Tag)
+	h.True(up != lost)
+	h.Equal(h.goesTo(up, packet(up.Tag, 201)).Reason, model.ReasonNone)
+	h.goesTo(up, packet(h.other(up).Tag, 301))
+}
