--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -143,9 +143,9 @@
 			err = eris.Wrapf(err, "poll %s", peer)
 		}
 	}()
-	var reply NextReply
 	args := NextArgs{From: string(s.cfg.Self), Have: have.Digest(), Wait: int64(wait), Heard: s.lastSeenSeq(peer)}
-	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
+	reply, err := s.next(ctx, peer, &args)
+	if err != nil {
 		return snap, err
 	}
 	s.handleSuspicions(peer, &reply)
@@ -160,14 +160,33 @@
 			err = eris.Wrapf(err, "poll %s as a reader", peer)
 		}
 	}()
-	var reply NextReply
 	args := NextArgs{From: string(s.cfg.Self), Have: have.Digest(), Wait: int64(wait), Readers: true}
-	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
+	reply, err := s.next(ctx, peer, &args)
+	if err != nil {
 		return snap, err
 	}
 	return snapshotFrom(have, &reply)
 }
 
+// next makes the call of a poll. The age in the reply that it returns is that at the return, never less.
+func (s *Share) next(ctx context.Context, peer netip.AddrPort, args *NextArgs) (reply NextReply, err error) {
+	start, wait := time.Now(), time.Duration(args.Wait)
+	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
+		return reply, err
+	}
+	reply.Age += int64(transit(time.Since(start), wait, time.Duration(reply.Held)))
+	return reply, nil
+}
+
+// transit returns the part of a call in which the peer did not hold it. Only one that took longer than its wait has a known part if the peer does not
+// state held: a whole wait added to the age would make a peer of an earlier build count as outdated, and the store be read instead.
+func transit(took, wait, held time.Duration) time.Duration {
+	if held <= 0 {
+		held = min(wait, maxWait)
+	}
+	return max(took-held, 0)
+}
+
 // snapshotFrom returns have with the changes in a reply applied.
 func snapshotFrom(have model.Snapshot, reply *NextReply) (model.Snapshot, error) {
 	if reply.Revision == 0 {
@@ -203,7 +222,7 @@
 // Next is the RPC behind Poll. It replies after the next publication or suspicion, or when args.Wait is over. It replies immediately if the
 // wait is zero or the caller lacks suspicions.
 func (c *calls) Next(args NextArgs, reply *NextReply) error {
-	s := c.share
+	s, start := c.share, time.Now()
 	s.mu.Lock()
 	changed := s.changed
 	pending := args.Heard != 0 && args.Heard < s.suspicionSeq
@@ -236,6 +255,7 @@
 	reply.Doubts, reply.Spread = s.suspicionsAfter(args.Heard), s.suspicionSeq
 	if reply.Revision != 0 {
 		reply.Index, reply.Of = ordinal.Index, ordinal.Count
+		reply.Held = max(int64(now.Sub(start)), 1)
 	}
 	return nil
 }
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -39,8 +39,10 @@
 	// Revision is that of the snapshot; zero in an empty reply. Era is that of the snapshot and of its list of upstreams.
 	Revision uint64
 	Era      uint64
-	// Age is the time since the store confirmed the snapshot, in nanoseconds.
+	// Age is the time since the store confirmed the snapshot when the reply was written, in nanoseconds.
 	Age int64
+	// Held is the time from the arrival of the poll to that instant, in nanoseconds; zero from an instance that does not state it.
+	Held int64
 	// Unsure is the rest of the grace period after an outage of the store, in nanoseconds.
 	Unsure int64
 	// Index and Of are the Index and Count of the caller's model.Ordinal; Of is zero if no ordinal is assigned.
