Tick at fixed times while packets arrive steadily

Cause: an upstream that answers again stayed suspect, and flows, tags and held packets outlived their time, while packets came at intervals below tickInterval. Each packet and each command set the timer of the decision loop to tickInterval from then, so that it did not fire unless a SYN had a timeout or a datagram was queued: no probe that was due started, and nothing expired. Failed probes were out of date by then. Ruled out: the schedule of the probes itself, which starts them at the next tick.

Change: the time of the next tick is kept over packets and commands, at most tickInterval after the last one. The detection of stalls gets the same wait as the timer, as before.

--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -53,6 +53,8 @@
 func (r *Relay) decide(ctx context.Context) error {
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
+	// tickAt is when the engine's next tick is due at the latest, however many packets and commands come before.
+	tickAt := r.now().Add(tickInterval)
 	r.stall.expect(r.now(), tickInterval)
 	for {
 		select {
@@ -72,13 +74,14 @@
 			r.logOmitted(now)
 			r.recordSamples()
 			r.updateGauges(now)
+			tickAt = now.Add(tickInterval)
 		case <-ctx.Done():
 			return nil
 		}
 		r.transmitQueued(r.now())
 		r.logEvents(r.now())
 		r.collectSuspicions()
-		wait := r.untilTick()
+		wait := r.untilTick(tickAt)
 		r.stall.expect(r.now(), wait)
 		timer.Reset(wait)
 	}
@@ -95,9 +98,10 @@
 	}
 }
 
-// untilTick returns the time to the engine's next deadline or to the next queued datagram, at most tickInterval.
-func (r *Relay) untilTick() time.Duration {
-	now, wait := r.now(), tickInterval
+// untilTick returns the time to the engine's next deadline or to the next queued datagram, at most that to tickAt.
+func (r *Relay) untilTick(tickAt model.Instant) time.Duration {
+	now := r.now()
+	wait := max(tickAt.Sub(now), 0)
 	if at, ok := r.engine.NextDeadline(); ok {
 		wait = min(wait, max(at.Sub(now), 0))
 	}
