Handle a stall whichever event ends it

Cause: after a stall that a packet or a command ended, and not the timer, the instance kept its ordinal, which may have been assigned to another instance, so that a cold upstream got new flows beyond its share; and it sent datagrams that were queued before a long stall. The packet or command set the timer anew, and only the timer led to handleStall; expect noticed the stall for probes only. Ruled out: packets from a long stall, which were dropped in either case.

Change: the decision loop asks the detector for a stall whenever it wakes, before it decides on what woke it, and once more after that, for a stall in the meantime. The detector reports a stall once: the time that the timer is overdue counts from the report. The stall tests use the new name of timerFired, wake; what they check is unchanged. A packet costs two more readings of the boot-time clock.

--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -59,6 +59,7 @@
 	for {
 		select {
 		case seg := <-r.segments.Items():
+			r.handleStall()
 			r.handlePacket(ctx, &seg)
 			r.transmitQueued(r.now())
 			if r.segments.Len() > 0 {
@@ -66,10 +67,11 @@
 				continue
 			}
 		case c := <-r.commands.Items():
+			r.handleStall()
 			c(r.now())
 		case <-timer.C:
+			r.handleStall()
 			now := r.now()
-			r.handleStall(r.stall.timerFired(now))
 			r.act(ctx, now, r.engine.Tick(now))
 			r.logOmitted(now)
 			r.recordSamples()
@@ -78,6 +80,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		r.handleStall()
 		r.transmitQueued(r.now())
 		r.logEvents(r.now())
 		r.collectSuspicions()
@@ -87,9 +90,10 @@
 	}
 }
 
-// handleStall acts on a stall of the process. After one longer than share.CallMargin it discards the ordinal, as it may have been assigned to another
-// instance.
-func (r *Relay) handleStall(delay time.Duration) {
+// handleStall acts on a stall of the process that has just ended, before anything is decided. After one longer than share.CallMargin it discards the
+// ordinal, as it may have been assigned to another instance.
+func (r *Relay) handleStall() {
+	delay := r.stall.wake(r.now())
 	if delay > share.CallMargin {
 		r.engine.SetOrdinal(model.Ordinal{}, 0)
 	}
--- a/internal/run/relay/stall.go
+++ b/internal/run/relay/stall.go
@@ -18,10 +18,10 @@
 	staleDrainTime = 100 * time.Millisecond
 )
 
-// stallDetector detects stalls of the process by how late the decision loop's timer fires. It uses the monotonic clock and the boot-time
+// stallDetector detects stalls of the process by how late the decision loop wakes after its timer is due. It uses the monotonic clock and the boot-time
 // clock, which also advances while the machine is suspended.
 type stallDetector struct {
-	// expected and bootExpected are when the timer should fire, by each clock.
+	// expected and bootExpected are when the timer should fire, or when a stall was last noticed if that is later, by each clock.
 	expected     model.Instant
 	bootExpected time.Duration
 	// bootTime reads the boot-time clock.
@@ -53,16 +53,18 @@
 	return max(now.Sub(s.expected), boot-s.bootExpected)
 }
 
-// timerFired returns how late the timer fired, or zero if the delay is within stallThreshold.
-func (s *stallDetector) timerFired(now model.Instant) time.Duration {
-	delay := s.delay(now, s.bootTime())
+// wake returns how long the timer is overdue when the decision loop wakes, whatever wakes it, or zero if that is within stallThreshold. A stall is returned
+// once.
+func (s *stallDetector) wake(now model.Instant) time.Duration {
+	boot := s.bootTime()
+	delay := s.delay(now, boot)
 	if delay > staleThreshold {
 		s.staleUntil = now.Add(staleDrainTime)
 	}
 	if delay <= stallThreshold {
 		return 0
 	}
-	s.lastStall = now
+	s.lastStall, s.expected, s.bootExpected = now, now, boot
 	return delay
 }
 
--- a/internal/run/relay/stall_test.go
+++ b/internal/run/relay/stall_test.go
@@ -38,7 +38,7 @@
 			if tc.early {
 				is.Equal(s.stale(now), tc.stale)
 			}
-			is.Equal(s.timerFired(now) > 0, tc.stalled)
+			is.Equal(s.wake(now) > 0, tc.stalled)
 			s.expect(now, 100*time.Millisecond)
 			is.Equal(s.stale(now.Add(time.Millisecond)), tc.stale)
 			is.True(!s.stale(now.Add(staleDrainTime)))
@@ -58,11 +58,11 @@
 		start   time.Duration
 		stalled bool
 	}{
-		"on time, the timer":         {wake: func(s *stallDetector, now model.Instant) { s.timerFired(now); s.expect(now, wait) }},
+		"on time, the timer":         {wake: func(s *stallDetector, now model.Instant) { s.wake(now); s.expect(now, wait) }},
 		"on time, a command":         {wake: func(s *stallDetector, now model.Instant) { s.expect(now, wait) }},
 		"on time, the probe":         {wake: func(*stallDetector, model.Instant) {}},
 		"slightly late, the probe":   {steady: stallThreshold - 1, boot: stallThreshold - 1, wake: func(*stallDetector, model.Instant) {}},
-		"a stall, then the timer":    {steady: stall, boot: stall, wake: func(s *stallDetector, now model.Instant) { s.timerFired(now); s.expect(now, wait) }, stalled: true},
+		"a stall, then the timer":    {steady: stall, boot: stall, wake: func(s *stallDetector, now model.Instant) { s.wake(now); s.expect(now, wait) }, stalled: true},
 		"a stall, then a command":    {steady: stall, boot: stall, wake: func(s *stallDetector, now model.Instant) { s.expect(now, wait) }, stalled: true},
 		"a stall, then the probe":    {steady: stall, boot: stall, wake: func(*stallDetector, model.Instant) {}, stalled: true},
 		"a suspension, then a probe": {boot: stall, wake: func(*stallDetector, model.Instant) {}, stalled: true},
