Move copies of SYNs and routing tags into files of their own

Cause: open.go and roster.go had grown by two concepts of their own, which a newcomer looks for by name.

--- /dev/null
+++ b/internal/core/direct/copy.go
@@ -0,0 +1,63 @@
+package direct
+
+import (
+	"time"
+
+	"hawthorncourse/internal/core/model"
+)
+
+// Callers send copies of a SYN that is not answered in time. While routers move flows, each copy may go through another instance, so an instance that
+// cannot place one does not know whether an upstream answers an earlier one.
+
+// synCopyTime is above the time from the first SYN of a flow to the arrival of its last copy, which the caller sends after 600 ms.
+const synCopyTime = 3 * time.Second
+
+// isCopy reports whether a SYN is a late or duplicated copy of that of the established flow; otherwise, the caller's port is reused.
+func (f *flow) isCopy(now model.Instant, syn *model.Segment) bool {
+	return f.established && now.Sub(f.synAt) < synCopyTime && f.sentSeq-syn.Seq <= seqWindow
+}
+
+// rejectedLimit bounds the rejected SYNs that are remembered; copies of further ones are dropped.
+const rejectedLimit = 1024
+
+// synCopies counts the copies of one SYN that came to this instance, from the first one on. Those after a missing one are not counted: it may have gone
+// through another instance, to an upstream that answers it.
+type synCopies struct {
+	seq, count uint32
+}
+
+// add counts a SYN.
+func (c *synCopies) add(syn *model.Segment) {
+	if c.seq != syn.Seq {
+		*c = synCopies{seq: syn.Seq}
+	}
+	if c.count == syn.Retransmission {
+		c.count++
+	}
+}
+
+// includes reports whether a SYN and all earlier copies of it were counted.
+func (c *synCopies) includes(syn *model.Segment) bool {
+	return c.seq == syn.Seq && syn.Retransmission < c.count
+}
+
+// synCopies returns the copies of a SYN that came here, this one included, if the earlier ones were rejected.
+func (e *Engine) synCopies(syn *model.Segment) synCopies {
+	var copies synCopies
+	if earlier := e.rejected.Peek(syn.Flow); earlier != nil {
+		copies = *earlier
+	}
+	copies.add(syn)
+	return copies
+}
+
+// reject resets a SYN that cannot be placed. A copy is only dropped if an earlier one may have gone through another instance: the reset might meet the open
+// flow. If this instance has reset all earlier copies, their resets were lost, and it resets this one, too.
+func (e *Engine) reject(now model.Instant, syn *model.Segment, copies synCopies, reason model.Reason) {
+	if !copies.includes(syn) {
+		e.drop(syn, nil, reason)
+		return
+	}
+	e.rejected.Put(now, syn.Flow, copies)
+	e.reset(syn, nil, reason)
+}
--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -111,14 +111,6 @@
 	return seq-f.sentSeq+seqWindow <= 2*seqWindow
 }
 
-// synCopyTime is above the time from the first SYN of a flow to the arrival of its last copy, which the caller sends after 600 ms.
-const synCopyTime = 3 * time.Second
-
-// isCopy reports whether a SYN is a late or duplicated copy of that of the established flow; otherwise, the caller's port is reused.
-func (f *flow) isCopy(now model.Instant, syn *model.Segment) bool {
-	return f.established && now.Sub(f.synAt) < synCopyTime && f.sentSeq-syn.Seq <= seqWindow
-}
-
 // wasTried reports whether the SYN was sent to the upstream.
 func (f *flow) wasTried(up *roster.Upstream) bool {
 	for _, t := range f.tried {
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -112,51 +112,6 @@
 	e.reject(now, seg, copies, model.ReasonNoUpstream)
 }
 
-// rejectedLimit bounds the rejected SYNs that are remembered; copies of further ones are dropped.
-const rejectedLimit = 1024
-
-// synCopies counts the copies of one SYN that came to this instance, from the first one on. Those after a missing one are not counted: it may have gone
-// through another instance, to an upstream that answers it.
-type synCopies struct {
-	seq, count uint32
-}
-
-// add counts a SYN.
-func (c *synCopies) add(syn *model.Segment) {
-	if c.seq != syn.Seq {
-		*c = synCopies{seq: syn.Seq}
-	}
-	if c.count == syn.Retransmission {
-		c.count++
-	}
-}
-
-// includes reports whether a SYN and all earlier copies of it were counted.
-func (c *synCopies) includes(syn *model.Segment) bool {
-	return c.seq == syn.Seq && syn.Retransmission < c.count
-}
-
-// synCopies returns the copies of a SYN that came here, this one included, if the earlier ones were rejected.
-func (e *Engine) synCopies(syn *model.Segment) synCopies {
-	var copies synCopies
-	if earlier := e.rejected.Peek(syn.Flow); earlier != nil {
-		copies = *earlier
-	}
-	copies.add(syn)
-	return copies
-}
-
-// reject resets a SYN that cannot be placed. A copy is only dropped if an earlier one may have gone through another instance: the reset might meet the open
-// flow. If this instance has reset all earlier copies, their resets were lost, and it resets this one, too.
-func (e *Engine) reject(now model.Instant, syn *model.Segment, copies synCopies, reason model.Reason) {
-	if !copies.includes(syn) {
-		e.drop(syn, nil, reason)
-		return
-	}
-	e.rejected.Put(now, syn.Flow, copies)
-	e.reset(syn, nil, reason)
-}
-
 // sendSyn sends the SYN of a flow to an upstream and starts its timeout.
 func (e *Engine) sendSyn(now model.Instant, key model.FlowKey, f *flow, up *roster.Upstream, reason model.Reason) {
 	f.reassign(up)
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -59,7 +59,8 @@
 	// ReasonRetryBudget means that the retry budget was exhausted or, for a request that its upstream did not run, that too little time was
 	// left for a retry.
 	ReasonRetryBudget
-	// ReasonRepeat marks a retransmission of a known request, a copy of the SYN of an open flow, or a different idempotent request that reuses the token of a recent one.
+	// ReasonRepeat marks a retransmission of a known request, a copy of the SYN of an open flow, or a different idempotent request that reuses the
+	// token of a recent one.
 	ReasonRepeat
 	// ReasonMalformed means that the datagram could not be parsed.
 	ReasonMalformed
--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -122,7 +122,7 @@
 }
 
 // contestTime returns how long a contested registration must stand. One that shares its tag with a known run, at another address, would take over the
-// packets of that run's flows: while the run answers probes, none of them may be open any more.
+// packets of that run's flows: while the run answers probes, which are requested here, none of them may be open any more.
 func (r *Roster) contestTime(now model.Instant, c *contest) time.Duration {
 	known := r.run(&c.registration)
 	if known == nil || known.Address == c.registration.Address || known.Replaced() || known.Health.ConfirmedUnreachable(now) {
--- a/internal/core/roster/replace.go
+++ b/internal/core/roster/replace.go
@@ -10,7 +10,8 @@
 	}
 }
 
-// replaceEnded marks the runs that were gone from the registry before a later run registered, which reg is of, under their ID or at their address.
+// replaceEnded marks the runs that were gone from the registry before a later run, by, registered under their ID or at their address; reg is its
+// registration.
 func (r *Roster) replaceEnded(by *Upstream, reg *model.Registration) {
 	if !r.named[reg.Service] {
 		return
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -15,26 +15,12 @@
 // about two seconds; half a second is added for the propagation delay.
 const OutageGrace = 2500 * time.Millisecond
 
-const (
-	// LostTagRetention is how long the tag of a run whose registration was lost is known: as long as regions and the store may lose each other, an
-	// instance that is cut off like the upstream opens flows there. A packet with the tag shows that the upstream has served within the life of a flow.
-	LostTagRetention = time.Hour
-	// sweepInterval bounds the work for outdated tags.
-	sweepInterval = time.Second
-)
-
 // Config is the configuration of a Roster.
 type Config struct {
 	// TagRetention is how long packets with the tag of an ended upstream are assigned to it. It must be the maximum lifetime of a flow.
 	TagRetention time.Duration
 }
 
-// tagKey is the lookup key of a run of an upstream. A tag is only meaningful within one service.
-type tagKey struct {
-	service model.ServiceID
-	tag     model.RoutingTag
-}
-
 // Roster holds all runs of all upstreams that existing flows may belong to. A run is one Upstream, from a start of its process to its
 // exit.
 type Roster struct {
@@ -193,43 +179,6 @@
 	return r.confirmedAt > since && r.confirmedAt.Sub(max(r.graceUntil, r.readableSince)) >= r.cfg.TagRetention && !r.hasUnreadable
 }
 
-// ExpireTags removes the tags of upstreams that ended at least TagRetention ago.
-func (r *Roster) ExpireTags(now model.Instant) {
-	for len(r.ended) > 0 && now.Sub(r.ended[0].Since) >= r.cfg.TagRetention {
-		oldest := r.ended[0]
-		r.ended = r.ended[1:]
-		if r.tags[oldest.key()] == oldest {
-			delete(r.tags, oldest.key())
-		}
-		if !oldest.Replaced() {
-			r.unused[oldest.Tag] = oldest.Since.Add(max(LostTagRetention, r.cfg.TagRetention))
-		}
-	}
-	if now >= r.sweepAt {
-		maps.DeleteFunc(r.unused, func(_ model.RoutingTag, until model.Instant) bool { return now >= until })
-		r.sweepAt = now.Add(sweepInterval)
-	}
-}
-
-// ByTag returns the run of an upstream of the service with the tag, or nil. The result may be in StateGone.
-func (r *Roster) ByTag(service model.ServiceID, tag model.RoutingTag) *Upstream {
-	return r.tags[tagKey{service: service, tag: tag}]
-}
-
-// Knows reports whether a tag is of any registration that was listed, applied or not, of any service. A flow with the tag may be open at its run even if
-// ByTag does not find it among the services of the flow's route. The tags of replaced runs are known for TagRetention only, as ByTag finds them.
-func (r *Roster) Knows(now model.Instant, tag model.RoutingTag) bool {
-	if now < r.unused[tag] {
-		return true
-	}
-	for service := range r.services {
-		if r.ByTag(service, tag) != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // Gone returns the runs in StateGone whose tags are still known, oldest first. The caller must not modify the slice.
 func (r *Roster) Gone() []*Upstream {
 	return r.ended
@@ -366,14 +315,6 @@
 	r.supersede(now, u)
 }
 
-// keepUnused records that a registration was listed that was not applied, unless it is an older write of the run in use.
-func (r *Roster) keepUnused(now model.Instant, reg *model.Registration) {
-	if u := r.current[reg.ID]; u == nil || !u.isRun(reg) {
-		tag := routingTag(reg)
-		r.unused[tag] = max(r.unused[tag], now.Add(r.cfg.TagRetention))
-	}
-}
-
 // run returns the known run that a registration names, or nil. It may be in StateGone.
 func (r *Roster) run(reg *model.Registration) *Upstream {
 	u := r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
@@ -410,15 +351,6 @@
 	return u
 }
 
-// claimTag lets packets with the tag of a run go to it, unless the flows of another run with the tag may be open.
-func (r *Roster) claimTag(now model.Instant, u *Upstream) {
-	holder := r.tags[u.key()]
-	u.untagged = holder != nil && !holder.isSameStart(u) && !holder.Ended(now)
-	if !u.untagged {
-		r.tags[u.key()] = u
-	}
-}
-
 // firstListing returns the listing that a registration is applied from, as the first one of a run.
 func (r *Roster) firstListing(reg *model.Registration) firstListing {
 	return firstListing{list: r.lists, revision: reg.Revision}
@@ -477,7 +409,3 @@
 	u.State, u.Since = s, now
 	r.changes = append(r.changes, StateChange{Upstream: u, State: s})
 }
-
-func (u *Upstream) key() tagKey {
-	return tagKey{service: u.Service, tag: u.Tag}
-}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -1,10 +1,6 @@
 package roster
 
 import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-
 	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/place"
@@ -190,13 +186,3 @@
 	}
 	return until
 }
-
-// routingTag derives the tag of a run of an upstream from its registration alone, so that all instances compute the same tag.
-func routingTag(r *model.Registration) model.RoutingTag {
-	var buf [24]byte
-	binary.BigEndian.PutUint64(buf[:], uint64(r.Number))
-	binary.BigEndian.PutUint64(buf[8:], uint64(r.Boot))
-	binary.BigEndian.PutUint64(buf[16:], xxhash.Sum64String(string(r.Service)))
-	sum := xxhash.Sum64(buf[:])
-	return model.RoutingTag(max(uint32(sum>>32), 1))
-}
