Count only an answered SYN as proof that a run uses its address

Cause: open flows of a run that serves were reset (upstream_gone). An instance had first listed it together with a dead run, which counts as the later one at the address, and took a packet of a caller for an answer of the dead run: a reset of a flow whose SYN was unanswered, or acknowledgements of what the dead run had sent.

Change: a run is known to use its address once the caller's packet after a SYN that this instance has sent it has the tag of the run.

--- a/internal/core/roster/replace.go
+++ b/internal/core/roster/replace.go
@@ -41,7 +41,7 @@
 // supersede ends the earlier of two runs of named services at the same address. The platform reuses an address only after its upstream has ended, but
 // the old registration may remain for seconds. Boot values come from the clocks of different machines, so a run counts as later only if its
 // registration was also written later, which the revisions of one era tell, and not listed before the other. A run that was first listed together with
-// the other gets no new flows, but its open ones end only when it answers no probes or once the other has answered a flow: the last heartbeat of an ended run
+// the other gets no new flows, but its open ones end only when it answers no probes or once the other has opened a flow: the last heartbeat of an ended run
 // may be executed late.
 func (r *Roster) supersede(now model.Instant, u *Upstream) {
 	if !r.named[u.Service] {
--- a/internal/core/roster/rival_test.go
+++ b/internal/core/roster/rival_test.go
@@ -11,25 +11,30 @@
 )
 
 // TestRivalAnswers guards against flows that end while their run may serve, or that never end: of two runs at an address that were first listed together,
-// the one that counts as earlier has ended for certain once the other has answered a flow since.
+// the one that counts as earlier has ended for certain once the other has opened a flow since.
 func TestRivalAnswers(t *testing.T) {
 	cases := map[string]struct {
-		// answer lets runs answer flows; the registry was listed at the given time.
+		// answer lets runs answer SYNs; the registry was listed at the given time.
 		answer func(earlier, later *roster.Upstream, listed model.Instant)
 		ended  bool
 	}{
 		"neither answers": {answer: func(_, _ *roster.Upstream, _ model.Instant) {}},
 		"the later one answers": {
 			answer: func(_, later *roster.Upstream, listed model.Instant) {
-				later.Health.RecordSuccess(listed.Add(time.Second))
+				later.RecordOpened(listed.Add(time.Second))
 			}, ended: true,
 		},
 		"the later one answered before it was listed beside the other": {
-			answer: func(_, later *roster.Upstream, listed model.Instant) { later.Health.RecordSuccess(listed) },
+			answer: func(_, later *roster.Upstream, listed model.Instant) { later.RecordOpened(listed) },
+		},
+		"the later one seems to answer, as a caller's packet acknowledges earlier data": {
+			answer: func(_, later *roster.Upstream, listed model.Instant) {
+				later.Health.RecordSuccess(listed.Add(time.Second))
+			},
 		},
 		"the earlier one answers": {
 			answer: func(earlier, _ *roster.Upstream, listed model.Instant) {
-				earlier.Health.RecordSuccess(listed.Add(time.Second))
+				earlier.RecordOpened(listed.Add(time.Second))
 			},
 		},
 	}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -68,6 +68,8 @@
 	displaced bool
 	// untagged is true while packets with the tag go to another run of the service.
 	untagged bool
+	// opened is when the last SYN was sent of a flow that is known to be open at this run; zero if there is none.
+	opened model.Instant
 	// inPlace is true if replaced is set and each later run under the ID has the same address. Flows that were opened there before the registry listed
 	// that run may be its own, though they carry the tag of this one.
 	inPlace bool
@@ -164,10 +166,15 @@
 	return (u.superseded && !u.disputed()) || (u.replaced && !u.inPlace)
 }
 
-// disputed reports whether the run may serve although it counts as superseded. It does not once its rival has answered a flow of this instance since: a
+// disputed reports whether the run may serve although it counts as superseded. It does not once its rival has opened a flow of this instance since: a
 // process takes packets for its own ID only, and one process uses the address.
 func (u *Upstream) disputed() bool {
-	return u.rival != nil && u.rival.Health.LastSuccess() <= u.Since
+	return u.rival != nil && u.rival.opened <= u.Since
+}
+
+// RecordOpened records that the run has answered a SYN of this instance: the caller's next packet had its tag.
+func (u *Upstream) RecordOpened(sent model.Instant) {
+	u.opened = max(u.opened, sent)
 }
 
 // Ended reports whether the run has ended, with all its flows: it was replaced, or it is gone from the registry and does not answer probes at
