End flows of a dead run whose rival stands at its address

Cause: callers waited for their deadline on flows of a dead run that an instance had first listed together with the run at its address now, if that one got no new flows here, as in a failure domain that is out of service: only an opened flow settled which of the two had ended. Ruled out: that a late heartbeat of a dead run stands as long.

Change: the run has ended for certain once its rival has been listed for 10 s beyond any grace period, while it is not listed itself.

--- a/internal/core/roster/replace.go
+++ b/internal/core/roster/replace.go
@@ -78,3 +78,20 @@
 	change := &r.changes[len(r.changes)-1]
 	change.Cause, change.By = cause, *by
 }
+
+// disputeTime is how long a run must be listed at an address, while the one before it is not, to have certainly replaced it. The store executes the last
+// heartbeat of a process that has ended some seconds late, and removes its registration three heartbeats later.
+const disputeTime = 2 * ContestTime
+
+// settleDisputes ends the runs whose rival has been listed for disputeTime, without a gap and according to a confirmation by the store, and that are not
+// listed themselves.
+func (r *Roster) settleDisputes(confirmedAt model.Instant) {
+	for _, u := range r.ended {
+		if u.rival == nil || u.rival.State != StateListed || r.contests[u.ID] != nil {
+			continue
+		}
+		if confirmedAt.Sub(max(u.Since, u.rival.Since, r.graceUntil)) >= disputeTime {
+			u.rival = nil
+		}
+	}
+}
--- a/internal/core/roster/rival_test.go
+++ b/internal/core/roster/rival_test.go
@@ -57,3 +57,40 @@
 		})
 	}
 }
+
+// TestRivalStands checks when a run has ended for certain whose rival stays listed at their address although neither has opened a flow.
+func TestRivalStands(t *testing.T) {
+	earlier, later := registration(1, 5), registration(2, 6)
+	later.ID, later.Number = "other-2", 2
+	cases := map[string]struct {
+		// list is the registry from one second after both were listed, and until is the time of the last confirmation after that.
+		list  []model.Registration
+		until time.Duration
+		// grace is the rest of a grace period then.
+		grace time.Duration
+		ended bool
+	}{
+		"for long":                        {list: []model.Registration{later}, until: 12 * time.Second, ended: true},
+		"not for long":                    {list: []model.Registration{later}, until: 9 * time.Second},
+		"not for long after an outage":    {list: []model.Registration{later}, until: 12 * time.Second, grace: 3 * time.Second},
+		"while the run is listed as well": {list: []model.Registration{earlier, later}, until: 4 * time.Second},
+		"and is removed":                  {until: 12 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New(roster.Config{TagRetention: time.Minute})
+			r.NameService("orders")
+			r.Sync(afterGrace, listing(earlier, later))
+			u := r.Gone()[0]
+			is.Equal(u.Boot, earlier.Boot)
+			changed := afterGrace.Add(time.Second)
+			r.ExtendGrace(changed.Add(tc.grace))
+			r.Sync(changed, listing(tc.list...))
+			for at := changed; at <= changed.Add(tc.until); at = at.Add(time.Second) {
+				r.Confirm(at, at)
+			}
+			is.Equal(u.Replaced(), tc.ended)
+		})
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -165,6 +165,7 @@
 		r.markGone(now, u)
 	}
 	r.settleContests(now, confirmedAt)
+	r.settleDisputes(confirmedAt)
 }
 
 // Confirmed reports whether the store has confirmed since the given time, beyond a grace period, that the roster and the routes were current.
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -62,7 +62,7 @@
 	// superseded is true once a later run uses the address, as far as start and revision tell, and replaced once there is a later run under the ID.
 	superseded, replaced bool
 	// rival is the run that uses the address if superseded is set and the registry does not tell which of the two is the later one, as far as this instance
-	// has seen; otherwise nil.
+	// has seen; nil otherwise, and once that is settled.
 	rival *Upstream
 	// displaced is true while the run is gone because an entry that names another service or no start has stood under its ID.
 	displaced bool
