Follow the tag of a flow whose first packet came to another instance

Cause: packets of an open flow went to another upstream. Another instance had opened the flow; this one had sent a late copy of its SYN elsewhere, and the first packet that came here, later in the flow, had the tag of that answer: the flow counted as opened here, and all its packets stayed there.

Change: a flow counts as opened here only if the packet is the first after the SYN, by its sequence number. Otherwise the tag is followed.

--- a/internal/core/direct/copy.go
+++ b/internal/core/direct/copy.go
@@ -41,6 +41,11 @@
 	return c.seq == syn.Seq && syn.Retransmission < c.count
 }
 
+// precedes reports whether a packet is the first one after the SYN, or has the first data.
+func (c *synCopies) precedes(seg *model.Segment) bool {
+	return seg.Seq == c.seq+1
+}
+
 // synCopies returns the copies of a SYN that came here, this one included, if the earlier ones were rejected.
 func (e *Engine) synCopies(syn *model.Segment) synCopies {
 	var copies synCopies
--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -21,7 +21,7 @@
 	synAt model.Instant
 	// established is set once a packet of the caller shows that it has received a packet from up.
 	established bool
-	// opened is set if this instance has sent the SYN to up, and the caller's first packet had the tag of up.
+	// opened is set if this instance has sent the SYN to up, and the caller's first packet came here and had the tag of up.
 	opened bool
 	// answered is set once the caller has acknowledged data in a packet with the tag of up, which shows that the flow is open there.
 	answered bool
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -195,10 +195,11 @@
 			e.addSample(SampleHandshake, now.Sub(f.synAt))
 		}
 	}
-	f.opened = seg.Tag == f.up.Tag && f.wasTried(f.up)
-	if f.syn != nil && f.opened && !seg.Reset {
+	answered := seg.Tag == f.up.Tag && f.wasTried(f.up)
+	if answered && !seg.Reset {
 		f.up.RecordOpened(f.synAt)
 	}
+	f.opened = answered && f.copies.precedes(seg)
 	f.syn = nil
 	if len(f.tried) == 1 && f.tried[0] == f.up {
 		f.tried = nil
