Reset copies of a SYN that this instance has held and dropped

Cause: a caller waited up to 1.4 s for a SYN that cannot be placed. Its first copy had been held while the instance started, and dropped when the next was due; the next counted as the copy of one that had gone through another instance.

Change: a SYN that is dropped instead of held, or after its holding time, counts as one that came here, like a rejected one.

--- a/internal/core/direct/copy.go
+++ b/internal/core/direct/copy.go
@@ -17,7 +17,7 @@
 	return f.established && now.Sub(f.synAt) < synCopyTime && f.sentSeq-syn.Seq <= seqWindow
 }
 
-// rejectedLimit bounds the rejected SYNs that are remembered; copies of further ones are dropped.
+// rejectedLimit bounds the SYNs in Engine.rejected; copies of further ones are dropped.
 const rejectedLimit = 1024
 
 // synCopies counts the copies of one SYN that came to this instance, from the first one on. Those after a missing one are not counted: it may have gone
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -146,7 +146,7 @@
 	unknownTags *recent.Table[unknownTag, model.Instant]
 	// unrouted holds when each open flow whose address has no route was first seen.
 	unrouted *recent.Table[model.FlowKey, model.Instant]
-	// rejected holds the copies of each SYN that was rejected.
+	// rejected holds the copies of each SYN that was rejected or, while this instance could not decide, dropped.
 	rejected *recent.Table[model.FlowKey, synCopies]
 	// activeProbes counts the running probes; at most probeLimit.
 	activeProbes int
--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -38,7 +38,7 @@
 // hold keeps a packet that arrived at the given time; it drops the packet if too many are held.
 func (e *Engine) hold(at model.Instant, seg *model.Segment, reason model.Reason) {
 	if len(e.held) >= holdLimit {
-		e.drop(seg, nil, reason)
+		e.dropHeld(at, seg, reason)
 		return
 	}
 	e.held = append(e.held, heldPacket{at: at, seg: *seg})
@@ -62,7 +62,7 @@
 		p := &waiting[i]
 		switch {
 		case p.expired(now):
-			e.drop(&p.seg, nil, model.ReasonHeldTooLong)
+			e.dropHeld(now, &p.seg, model.ReasonHeldTooLong)
 		case p.seg.Syn || !e.waits(now, &p.seg):
 			e.dispatch(now, &p.seg)
 		default:
@@ -94,7 +94,7 @@
 	kept := e.held[:0]
 	for i := range e.held {
 		if p := &e.held[i]; p.expired(now) {
-			e.drop(&p.seg, nil, model.ReasonHeldTooLong)
+			e.dropHeld(now, &p.seg, model.ReasonHeldTooLong)
 		} else {
 			kept = append(kept, *p)
 		}
@@ -102,3 +102,11 @@
 	clear(e.held[len(kept):])
 	e.held = kept
 }
+
+// dropHeld drops a packet that was to be held. A SYN among them has reached no upstream, so its copies may be reset.
+func (e *Engine) dropHeld(now model.Instant, seg *model.Segment, reason model.Reason) {
+	if seg.Syn {
+		e.rejected.Put(now, seg.Flow, e.synCopies(seg))
+	}
+	e.drop(seg, nil, reason)
+}
