Tell an upstream that is full from one that is dead

Cause: an upstream at its limit of connections accepts the connection of a probe and resets it, within 1 ms. Any error but a local one counted as a failed probe, and two or three of them ended flows.

Change: a reset connection has an outcome of its own. It proves that the upstream runs, keeps it from new flows until it answers a SYN or a probe, and does not count against its failure domain or the instance's readiness. The decision whether a flow has ended is made in one place and by one standard, three failed probes with no sign of the upstream in between; two were enough for flows that waited. The interval between probes starts anew with the first failure, so that a full upstream that ends is given up as soon as others.

--- a/internal/core/direct/event.go
+++ b/internal/core/direct/event.go
@@ -14,7 +14,10 @@
 const (
 	// EventUpstreamEjected means that an upstream does not respond and gets no new flows for now.
 	EventUpstreamEjected EventKind = iota + 1
+	// EventUpstreamReachable means that an ejected upstream responds and gets new flows again.
 	EventUpstreamReachable
+	// EventUpstreamFull means that an upstream is at its limit of connections: it serves its open flows, but gets no new ones for now.
+	EventUpstreamFull
 	// EventDomainPartitioned means that probes of several upstreams of a failure domain have failed and none of its upstreams responds: the
 	// domain is considered partitioned from this instance and gets no new flows for now.
 	EventDomainPartitioned
@@ -24,6 +27,7 @@
 var eventNames = map[EventKind]string{
 	EventUpstreamEjected:   "upstream_barred",
 	EventUpstreamReachable: "upstream_reachable",
+	EventUpstreamFull:      "upstream_full",
 	EventDomainPartitioned: "domain_cut",
 	EventDomainReachable:   "domain_reachable",
 }
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -101,7 +101,7 @@
 func (e *Engine) rejectUnplaced(now model.Instant, seg *model.Segment, f *flow) {
 	if now.Sub(f.synAt) < synCopyTime {
 		for _, up := range f.tried {
-			if !f.copies.includes(seg) || !up.Ended(now) && e.reachable(up) {
+			if !f.copies.includes(seg) || !up.Ended(now) && (e.reachable(up) || up.Health.Full()) {
 				e.drop(seg, up, model.ReasonNoUpstream)
 				return
 			}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -43,19 +43,14 @@
 		e.handleUnresolved(now, seg, f)
 		return
 	}
+	reason := e.endReason(now, r.Kind, up)
 	switch {
-	case up.Ended(now):
-		e.terminate(seg, f, up, model.ReasonUpstreamGone)
+	case reason == model.ReasonUpstreamGone, reason != model.ReasonNone && seg.Size > 0:
+		// The caller of an idempotent request may safely repeat it, and a new flow is sent to an upstream that answers.
+		e.terminate(seg, f, up, reason)
 		return
-	case up.State == roster.StateGone:
-		// It is probed only while it has flows here, so an earlier failure may be out of date.
-		e.startProbe(now, up)
-	case e.repeatable(r, seg) && up.Health.Unreachable(now, f.isRetransmission(now, seg)):
-		// The caller may safely repeat its request, and a new flow is sent to a reachable upstream.
-		e.terminate(seg, f, up, model.ReasonUpstreamUnreachable)
-		return
-	case up.Health.FailedProbes() > 0:
-		// The failures may be out of date, too.
+	case up.State == roster.StateGone || up.Health.FailedProbes() > 0:
+		// An upstream that is gone is probed only while it has flows here, so earlier failures may be out of date.
 		e.startProbe(now, up)
 	}
 	if f == nil {
@@ -65,7 +60,7 @@
 		}
 		f = e.flows.Peek(seg.Flow)
 	}
-	reason := f.follow(up)
+	reason = f.follow(up)
 	e.observe(now, seg, f)
 	e.forward(up, seg, reason)
 	if seg.Reset {
@@ -189,7 +184,7 @@
 func (e *Engine) finishHandshake(now model.Instant, seg *model.Segment, f *flow) {
 	f.established = true
 	if f.syn != nil {
-		e.recordSuccess(now, f.up)
+		e.recordHandshake(now, f.up)
 		if len(f.tried) == 1 {
 			e.handshakes.observe(now.Sub(f.synAt))
 			e.addSample(SampleHandshake, now.Sub(f.synAt))
--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -27,7 +27,8 @@
 		if !e.roster.Usable(u) {
 			continue
 		}
-		if e.reachable(u) {
+		// A full upstream answers this instance; others would not find more room there.
+		if e.reachable(u) || u.Health.Full() {
 			return false
 		}
 		usable = true
@@ -48,13 +49,23 @@
 	e.startProbe(now, u)
 }
 
-// recordSuccess records that an upstream responded within a flow.
+// recordHandshake records that an upstream responded to a SYN.
+func (e *Engine) recordHandshake(now model.Instant, u *roster.Upstream) {
+	e.recordAnswer(now, u, u.Health.RecordHandshake)
+}
+
+// recordSuccess records that an upstream responded within an open flow.
 func (e *Engine) recordSuccess(now model.Instant, u *roster.Upstream) {
-	if u.Health.Ejected() {
-		e.addEvent(Event{Kind: EventUpstreamReachable, Upstream: u, UnansweredFor: u.Health.UnansweredFor(now)})
-	}
+	e.recordAnswer(now, u, u.Health.RecordSuccess)
+}
+
+func (e *Engine) recordAnswer(now model.Instant, u *roster.Upstream, record func(model.Instant)) {
+	wasEjected, unansweredFor := u.Health.Ejected(), u.Health.UnansweredFor(now)
 	e.limitIfRestarted(now, u)
-	u.Health.RecordSuccess(now)
+	record(now)
+	if wasEjected && !u.Health.Ejected() {
+		e.addEvent(Event{Kind: EventUpstreamReachable, Upstream: u, UnansweredFor: unansweredFor})
+	}
 	e.recordDomainSuccess(now, u.Domain)
 }
 
@@ -80,11 +91,6 @@
 	}
 }
 
-// repeatable reports whether a flow may be reset at a packet because its upstream is unreachable: its caller repeats an idempotent request.
-func (e *Engine) repeatable(r *route, seg *model.Segment) bool {
-	return seg.Size > 0 && r.Kind == model.RouteIdempotent && !e.cfg.Disabled.Resets
-}
-
 // startProbe requests a probe of an upstream if one is due. If probeLimit are running or others wait, it has to wait, too.
 func (e *Engine) startProbe(now model.Instant, u *roster.Upstream) {
 	if _, due := u.Health.ProbeDue(now); !due || u.Replaced() {
@@ -97,12 +103,12 @@
 	}
 }
 
-// FinishProbe records the outcome of a probe, and resets the idempotent flows that wait for the upstream if it is unreachable. The actions
-// are valid until the next call.
+// FinishProbe records the outcome of a probe, and resets the flows that wait for the upstream and have ended with it. The actions are valid until the
+// next call.
 func (e *Engine) FinishProbe(now model.Instant, u *roster.Upstream, outcome health.Outcome) []Action {
 	e.actions = e.actions[:0]
 	e.recordProbe(now, u, outcome)
-	if outcome == health.OutcomeFailed && u.Health.Unreachable(now, true) {
+	if outcome == health.OutcomeFailed && u.Health.Dead(now) {
 		e.resetWaitingFlows(now, u)
 	}
 	if e.probesWaiting {
@@ -111,10 +117,11 @@
 	return e.actions
 }
 
-// resetWaitingFlows resets the idempotent flows that wait for an unreachable upstream: their callers' next retransmission may come after
-// the request's deadline.
+// resetWaitingFlows resets the idempotent flows that wait for a dead upstream: their callers' next retransmission may come after the request's
+// deadline. Other callers do not repeat their requests, so their flows are reset only at their next packet, if they have ended.
 func (e *Engine) resetWaitingFlows(now model.Instant, u *roster.Upstream) {
-	if e.cfg.Disabled.Resets {
+	reason := e.endReason(now, model.RouteIdempotent, u)
+	if reason == model.ReasonNone {
 		return
 	}
 	e.flows.Each(func(key model.FlowKey, f *flow) bool {
@@ -130,36 +137,39 @@
 	})
 	for _, key := range e.resetQueue {
 		f := e.flows.Peek(key)
-		e.terminate(&model.Segment{Flow: key, AckSeq: f.ackSeq}, f, u, model.ReasonUpstreamUnreachable)
+		e.terminate(&model.Segment{Flow: key, AckSeq: f.ackSeq}, f, u, reason)
 	}
 	e.resetQueue = e.resetQueue[:0]
 }
 
 // recordProbe applies the outcome of a probe to the upstream and to its failure domain.
 func (e *Engine) recordProbe(now model.Instant, u *roster.Upstream, outcome health.Outcome) {
-	wasEjected := u.Health.Ejected()
-	if outcome == health.OutcomeAnswered {
+	wasEjected, wasFull := u.Health.Ejected(), u.Health.Full()
+	responded := outcome == health.OutcomeAnswered || outcome == health.OutcomeFull
+	if responded {
 		e.limitIfRestarted(now, u)
 	}
 	outcome = u.Health.FinishProbe(now, outcome)
 	e.activeProbes--
-	if outcome == health.OutcomeAnswered {
-		if wasEjected {
-			e.addEvent(Event{Kind: EventUpstreamReachable, Upstream: u})
-		}
-		e.recordDomainSuccess(now, u.Domain)
-		return
-	}
-	if u.State == roster.StateGone {
-		// That it does not answer is what is expected, and says nothing about its failure domain.
-		return
-	}
-	if !wasEjected && u.Health.Ejected() {
+	switch {
+	case !wasFull && u.Health.Full():
+		e.addEvent(Event{Kind: EventUpstreamFull, Upstream: u})
+	case wasEjected && !u.Health.Ejected():
+		e.addEvent(Event{Kind: EventUpstreamReachable, Upstream: u})
+	case !wasEjected && u.Health.Ejected() && u.State != roster.StateGone:
 		e.addEvent(Event{Kind: EventUpstreamEjected, Upstream: u})
 	}
-	if outcome != health.OutcomeFailed || !u.Health.Ejected() {
-		return
+	switch {
+	case responded:
+		e.recordDomainSuccess(now, u.Domain)
+	case outcome == health.OutcomeFailed && u.Health.Silent() && u.State != roster.StateGone:
+		// That an upstream that is gone does not answer is what is expected, and says nothing about its failure domain.
+		e.recordProbeFailure(now, u)
 	}
+}
+
+// recordProbeFailure counts a failed probe against the failure domain of the upstream.
+func (e *Engine) recordProbeFailure(now model.Instant, u *roster.Upstream) {
 	d := e.domainTracker(u.Domain)
 	if d.RecordProbeFailure(now, u.ID) {
 		e.addEvent(Event{Kind: EventDomainPartitioned, Domain: u.Domain})
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -20,11 +20,11 @@
 	partitionIdle = 150 * time.Millisecond
 	// suspicionIdle is the time since the last success in a failure domain after which one failed probe makes all its upstreams suspect.
 	suspicionIdle = 75 * time.Millisecond
-	// likelyFailures is the number of failed probes after which an upstream is unreachable for a flow that gets no answer itself.
-	likelyFailures = 2
-	// certainFailures is the number of failed probes after which an upstream is unreachable for all flows. It is higher because a
+	// restartFailures is the number of failed probes after which an upstream may have restarted when it answers again.
+	restartFailures = 2
+	// deadFailures is the number of failed probes after which an upstream counts as dead for its open flows. It is higher because a
 	// saturated link loses packets and probes alike.
-	certainFailures = 3
+	deadFailures = 3
 	// initialProbeInterval is the time between the first two probes of an upstream. For comparison, a caller retransmits data for the
 	// second time after 600 ms.
 	initialProbeInterval = 50 * time.Millisecond
@@ -48,6 +48,9 @@
 	OutcomeAnswered Outcome = iota + 1
 	// OutcomeFailed means that the probe timed out or that the connection was refused; a network partition may cause either.
 	OutcomeFailed
+	// OutcomeFull means that the upstream accepted the connection and reset it, because it is at its limit of connections. It runs and serves its open
+	// flows, but ignores the SYNs of new ones.
+	OutcomeFull
 	// OutcomeInconclusive means that this instance may be why no answer arrived in time: it stalled during the probe, its own link was saturated, or the
 	// probe could not be sent.
 	OutcomeInconclusive
@@ -63,6 +66,8 @@
 	unansweredSince model.Instant
 	// lastSuccess is when an answer was last seen in a flow.
 	lastSuccess model.Instant
+	// full is true if the last conclusive probe found the upstream at its limit of connections, and no SYN has been answered since.
+	full bool
 	// pathDown is true if the upstream's whole failure domain was considered partitioned when its probes failed.
 	pathDown bool
 	// lastProbe is when the last probe finished; zero if none has since the last answer in a flow.
@@ -79,9 +84,19 @@
 	probeInterval time.Duration
 }
 
-// RecordSuccess records that a flow got an answer from the upstream.
+// RecordSuccess records that an open flow got an answer from the upstream. A full upstream serves its open flows as well, so it stays full.
 func (t *Tracker) RecordSuccess(now model.Instant) {
-	*t = Tracker{lastSuccess: now, probing: t.probing, probeStart: t.probeStart}
+	next := Tracker{lastSuccess: now, probing: t.probing, probeStart: t.probeStart}
+	if t.full {
+		next.full, next.nextProbe, next.probeInterval = true, t.nextProbe, t.probeInterval
+	}
+	*t = next
+}
+
+// RecordHandshake records that the upstream answered a SYN, so that it is not full.
+func (t *Tracker) RecordHandshake(now model.Instant) {
+	t.full = false
+	t.RecordSuccess(now)
 }
 
 // RecordTimeout records that a packet sent at the given time got no answer in time. A packet sent before the last success is ignored.
@@ -102,9 +117,9 @@
 	}
 }
 
-// Suspect reports whether packets or probes of the upstream went unanswered since it last answered.
+// Suspect reports whether the upstream has to be probed: packets or probes went unanswered since it last answered, or it is full.
 func (t *Tracker) Suspect() bool {
-	return t.timeouts > 0 || t.probeFailures > 0
+	return t.timeouts > 0 || t.probeFailures > 0 || t.full
 }
 
 // ProbeDue reports whether a probe is due, and since when.
@@ -134,13 +149,21 @@
 		outcome = OutcomeInconclusive
 	}
 	t.probing, t.lastProbe = false, now
+	if outcome == OutcomeFailed && t.probeFailures == 0 {
+		// Probes that were answered, as by a full upstream, do not delay the proof that it has ended since.
+		t.probeInterval = 0
+	}
 	t.probeInterval = min(max(t.probeInterval*probeIntervalGrowth, initialProbeInterval), maxProbeInterval)
 	t.nextProbe = now.Add(t.probeInterval)
 	switch outcome {
 	case OutcomeAnswered:
-		t.timeouts, t.probeFailures, t.pathDown = 0, 0, false
+		t.clearFailures()
+		t.full = false
+	case OutcomeFull:
+		t.clearFailures()
+		t.full = true
 	case OutcomeFailed:
-		if t.timeouts > 0 || t.probeFailures > 0 {
+		if t.Suspect() {
 			t.probeFailures++
 			t.verdictUntil = t.nextProbe.Add(maxProbeInterval)
 		}
@@ -148,27 +171,37 @@
 	return outcome
 }
 
+// clearFailures forgets what went unanswered, since the upstream runs and the path to it works.
+func (t *Tracker) clearFailures() {
+	t.timeouts, t.probeFailures, t.pathDown, t.verdictUntil = 0, 0, false, 0
+}
+
 // ExpediteProbe allows the next probe to start immediately, as the path to the failure domain works again. Earlier failures may be due to the path, so
 // they do not count for open flows until the next one.
 func (t *Tracker) ExpediteProbe(now model.Instant) {
 	t.nextProbe, t.verdictUntil = min(t.nextProbe, now), 0
 }
 
-// Ejected reports whether the upstream must not get new flows.
-func (t *Tracker) Ejected() bool {
+// Silent reports whether the upstream leaves packets or probes unanswered, so that it may be unreachable.
+func (t *Tracker) Silent() bool {
 	return t.timeouts >= ejectionTimeouts || t.probeFailures > 0
 }
 
-// Unreachable reports whether so many consecutive probes have failed that an open flow has a better chance at another upstream;
-// unanswered states whether the flow itself is waiting for an answer. The last of them must have failed within the last two intervals: the upstream
-// may answer again, and no probe has asked it since.
-func (t *Tracker) Unreachable(now model.Instant, unanswered bool) bool {
-	return now < t.verdictUntil && (t.probeFailures >= certainFailures || (unanswered && t.probeFailures >= likelyFailures))
+// Full reports whether the upstream runs but is at its limit of connections.
+func (t *Tracker) Full() bool {
+	return t.full && !t.Silent()
+}
+
+// Ejected reports whether the upstream must not get new flows, because it is silent or full.
+func (t *Tracker) Ejected() bool {
+	return t.full || t.Silent()
 }
 
-// ConfirmedUnreachable reports whether the upstream is unreachable for all flows.
-func (t *Tracker) ConfirmedUnreachable(now model.Instant) bool {
-	return t.Unreachable(now, false)
+// Dead reports whether so many consecutive probes have failed, without any sign of the upstream in between, that its open flows have ended as far as this
+// instance can tell. A full upstream resets the connections of probes, which shows that it runs. The last probe must have failed within the last two
+// intervals: the upstream may answer again, and no probe has asked it since.
+func (t *Tracker) Dead(now model.Instant) bool {
+	return now < t.verdictUntil && t.probeFailures >= deadFailures
 }
 
 // MarkPathDown records that the upstream's whole failure domain is considered partitioned, so that the failed probes do not show that the
@@ -179,7 +212,7 @@
 
 // Down reports whether the upstream itself, rather than the path to it, seems to be down. If it answers again, it may have restarted.
 func (t *Tracker) Down() bool {
-	return t.probeFailures >= likelyFailures && !t.pathDown
+	return t.probeFailures >= restartFailures && !t.pathDown
 }
 
 // Timeouts returns the number of consecutive unanswered packets.
--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -125,7 +125,7 @@
 // packets of that run's flows: while the run answers probes, which are requested here, none of them may be open any more.
 func (r *Roster) contestTime(now model.Instant, c *contest) time.Duration {
 	known := r.run(&c.registration)
-	if known == nil || known.Address == c.registration.Address || known.Replaced() || known.Health.ConfirmedUnreachable(now) {
+	if known == nil || known.Address == c.registration.Address || known.Replaced() || known.Health.Dead(now) {
 		return ContestTime
 	}
 	known.Health.MarkSuspect(now)
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -180,7 +180,7 @@
 // Ended reports whether the run has ended, with all its flows: it was replaced, or it is gone from the registry and does not answer probes at
 // present. A registration that is gone proves nothing by itself: it also expires if the store loses the upstream's writes.
 func (u *Upstream) Ended(now model.Instant) bool {
-	return u.State == StateGone && (u.Replaced() || u.Health.ConfirmedUnreachable(now))
+	return u.State == StateGone && (u.Replaced() || u.Health.Dead(now))
 }
 
 // coldUntil returns the end of the cold start according to a registration of this run that was listed in an era. ColdFor counts from the write,
--- a/internal/run/relay/probe.go
+++ b/internal/run/relay/probe.go
@@ -28,6 +28,9 @@
 	switch {
 	case p.err == nil:
 		return health.OutcomeAnswered, ""
+	case errors.Is(p.err, syscall.ECONNRESET):
+		// The upstream accepted the connection first. A port without a listener and a partition refuse the connection or leave it unanswered.
+		return health.OutcomeFull, "upstream.probe_full"
 	case p.local():
 		return health.OutcomeInconclusive, "upstream.probe_local_error"
 	case errors.Is(p.err, syscall.ECONNREFUSED):
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -100,7 +100,7 @@
 // addEvidence adds what speaks for and against an upstream: failed probes and the ages of the last probe and of the last answer in a flow, as far as there
 // were any, and whether a later run has taken its place.
 func addEvidence(fields logs.Fields, now model.Instant, u *roster.Upstream) {
-	fields["failedProbes"], fields["replaced"] = u.Health.FailedProbes(), u.Replaced()
+	fields["failedProbes"], fields["full"], fields["replaced"] = u.Health.FailedProbes(), u.Health.Full(), u.Replaced()
 	if at := u.Health.LastProbe(); at != 0 {
 		fields["probeAgeMs"] = now.Sub(at).Milliseconds()
 	}
@@ -150,6 +150,8 @@
 			withUpstream(log, ev.Upstream).With("misses", ev.Upstream.Health.Timeouts()).Warn("An upstream does not answer and has been ejected; new flows go to other upstreams.")
 		case direct.EventUpstreamReachable:
 			withUpstream(log, ev.Upstream).With("silentMs", ev.UnansweredFor.Milliseconds()).Info("An ejected upstream answers again; it gets new flows.")
+		case direct.EventUpstreamFull:
+			withUpstream(log, ev.Upstream).Warn("An upstream is at its limit of connections; it keeps its open flows, and new ones go to other upstreams.")
 		case direct.EventDomainPartitioned:
 			log.With("domain", ev.Domain).Warn("No upstream of a failure domain answers; new flows go to other failure domains.")
 		case direct.EventDomainReachable:
@@ -213,17 +215,21 @@
 // updateGauges updates the gauges of upstreams, flows and the snapshot.
 func (r *Relay) updateGauges(now model.Instant) {
 	states := map[roster.State]int{}
-	ejected := 0
+	ejected, full := 0, 0
 	for _, u := range r.engine.Roster().All() {
 		states[u.State]++
 		if u.Health.Ejected() {
 			ejected++
 		}
+		if u.Health.Full() {
+			full++
+		}
 	}
 	for _, s := range []roster.State{roster.StateListed, roster.StateMissing, roster.StateUnreadable} {
 		r.counts.Gauge("upstreams." + s.String()).Update(float64(states[s]))
 	}
 	r.counts.Gauge("upstreams.barred").Update(float64(ejected))
+	r.counts.Gauge("upstreams.full").Update(float64(full))
 	r.counts.Gauge("flows").Update(float64(r.engine.FlowCount()))
 	queued, delay := r.egress.Queued()
 	r.counts.Gauge("egress.queued_bytes").Update(float64(queued))
