Open flows at a certain upstream for a time instead of a hundred tries

The log of that run shows placements until the caller gave up, and no other fault. Three upstreams serve the service, and a flow goes to the best of three that are drawn with replacement, so the one that looks slowest gets one flow in 27: a hundred openings miss it in 2.3% of the cases, for each of eight flows.

The setup now opens flows for up to 10 s. The checks are unchanged.

--- a/internal/proof/direct/away_test.go
+++ b/internal/proof/direct/away_test.go
@@ -20,6 +20,9 @@
 	// awayTime exceeds the grace period and the life of a registration together, and returnTime the grace period.
 	awayTime   = graceTime + lapseHeartbeats*heartbeatTime
 	returnTime = 6 * time.Second
+	// openTime is how long a caller opens flows until one is at a certain upstream. An upstream that looks slowest of three is chosen for one flow in 27, so
+	// a hundred flows were too few in one run beside load.
+	openTime = 10 * time.Second
 )
 
 var (
@@ -105,7 +108,7 @@
 
 // open opens a flow at an upstream through an instance, or returns nil.
 func (a *away) open(p *stage.Process, service netip.AddrPort, u *stand.Upstream) *heldFlow {
-	for range maxOpenings {
+	for start := time.Now(); time.Since(start) < openTime; {
 		f, err := a.Callers[0].OpenVia(a.ctx, service, p.Settings.Packets)
 		if err != nil {
 			return nil
