--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -151,6 +151,18 @@
 	}
 	outcome = u.Health.FinishProbe(now, outcome)
 	e.activeProbes--
+	e.addProbeEvent(u, wasEjected, wasFull)
+	switch {
+	case responded:
+		e.recordDomainSuccess(now, u.Domain)
+	case outcome == health.OutcomeFailed && u.Health.Silent() && u.State != roster.StateGone:
+		// That an upstream that is gone does not answer is what is expected, and says nothing about its failure domain.
+		e.recordProbeFailure(now, u)
+	}
+}
+
+// addProbeEvent adds the event of a change that a probe has brought about.
+func (e *Engine) addProbeEvent(u *roster.Upstream, wasEjected, wasFull bool) {
 	switch {
 	case !wasFull && u.Health.Full():
 		e.addEvent(Event{Kind: EventUpstreamFull, Upstream: u})
@@ -159,13 +171,6 @@
 	case !wasEjected && u.Health.Ejected() && u.State != roster.StateGone:
 		e.addEvent(Event{Kind: EventUpstreamEjected, Upstream: u})
 	}
-	switch {
-	case responded:
-		e.recordDomainSuccess(now, u.Domain)
-	case outcome == health.OutcomeFailed && u.Health.Silent() && u.State != roster.StateGone:
-		// That an upstream that is gone does not answer is what is expected, and says nothing about its failure domain.
-		e.recordProbeFailure(now, u)
-	}
 }
 
 // recordProbeFailure counts a failed probe against the failure domain of the upstream.
