Routes: priority, target latency, download, and the health path of services

Cause: admission control and load collection need the priority and the target latency of a route and the health path of a service, and downloads waited at a dead upstream like requests that must run at most once.

Instances pass the values on to each other; a priority is sent plus one, as gob leaves zero, the highest priority, for a field that an earlier build does not send. "status -relay" shows them. A flow is treated as idempotent by the kind of its own route, which includes downloads.

Tests, each seen to fail before the change: TestRoutes, TestRouteFields and TestHealthPath (platform); TestChangedRouteField (priority, target), TestChangedHealthPath, TestPriorities, TestReplyOfEarlierBuild and TestOddRouteFields (share); TestRouteKindAtDeadUpstream for downloads (direct); TestRelayRoutes (status). TestReplyToEarlierBuild guards the other direction.

For arm64 it was built and vetted, not run.

--- a/internal/core/direct/ended.go
+++ b/internal/core/direct/ended.go
@@ -15,7 +15,7 @@
 	switch {
 	case up.Ended(now):
 		return model.ReasonUpstreamGone
-	case kind == model.RouteIdempotent && up.State != roster.StateGone && !e.cfg.Disabled.Resets && up.Health.Dead(now):
+	case kind.Idempotent() && up.State != roster.StateGone && !e.cfg.Disabled.Resets && up.Health.Dead(now):
 		return model.ReasonUpstreamUnreachable
 	default:
 		return model.ReasonNone
--- a/internal/core/model/ids.go
+++ b/internal/core/model/ids.go
@@ -42,6 +42,12 @@
 // Epoch is the generation number of a set of binding keys; zero means none.
 type Epoch uint16
 
+// Priority is the rank of requests when capacity is short; 0 is the highest.
+type Priority int
+
+// LowestPriority is the lowest priority, that of routes whose configuration states none. The platform defines the range.
+const LowestPriority Priority = 9
+
 // Instant is a time on the monotonic clock of the process, in nanoseconds since the process started.
 type Instant int64
 
--- a/internal/core/model/registry.go
+++ b/internal/core/model/registry.go
@@ -41,8 +41,27 @@
 	RouteOnce RouteKind = iota + 1
 	// RouteIdempotent is a route of idempotent requests, which callers retry after any failure.
 	RouteIdempotent
+	// RouteDownload is a route of idempotent requests whose responses are large. Instances pass the value on to each other; one of an earlier build,
+	// which does not know it, treats the route as not idempotent.
+	RouteDownload
 )
 
+var routeKindNames = map[RouteKind]string{
+	RouteOnce:       "at most once",
+	RouteIdempotent: "idempotent",
+	RouteDownload:   "download",
+}
+
+// String returns the name of the kind as used in reports; it is empty for an unknown kind.
+func (k RouteKind) String() string {
+	return routeKindNames[k]
+}
+
+// Idempotent reports whether callers may retry requests on the route after any failure. It is false for an unknown kind.
+func (k RouteKind) Idempotent() bool {
+	return k == RouteIdempotent || k == RouteDownload
+}
+
 // Target is one weighted destination of a route.
 type Target struct {
 	Service ServiceID
@@ -55,8 +74,12 @@
 	Name    string
 	Address netip.AddrPort
 	Kind    RouteKind
-	// Timeout is the maximum duration of a request.
+	// Timeout is the maximum duration of a request; zero if not stated.
 	Timeout time.Duration
+	// Priority is the rank of the route's requests when capacity is short, from 0 to LowestPriority.
+	Priority Priority
+	// Target is the response time that operators want for the route's requests; zero if not stated.
+	Target time.Duration
 	// Targets are the services that new flows are distributed over; never empty.
 	Targets []Target
 }
@@ -70,6 +93,8 @@
 	ColdFor time.Duration
 	// Connections is the maximum number of open flows.
 	Connections int
+	// HealthPath is the path of health requests to an upstream, which begins with a slash; empty if not stated.
+	HealthPath string
 }
 
 // RouteTable is one accepted version of the routing configuration.
--- a/internal/oper/shell/status.go
+++ b/internal/oper/shell/status.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"text/tabwriter"
 
 	"github.com/google/subcommands"
@@ -68,6 +69,7 @@
 	if len(w.Unreadable) > 0 {
 		fmt.Printf("  entries that cannot be read: %v\n", w.Unreadable)
 	}
+	printRoutes(w)
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "  upstream\tservice\tdomain\taddress\tstate\tdraining\tcold\treachable\trunning\tflows\tanswer")
 	for _, u := range w.Upstreams {
@@ -77,6 +79,31 @@
 	_ = tw.Flush()
 }
 
+// printRoutes prints the routes and the services that have a health path, if the instance reports them.
+func printRoutes(w status.WireRelayReport) {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if len(w.RouteList) > 0 {
+		fmt.Fprintln(tw, "  route\taddress\tkind\tpriority\ttarget latency\ttimeout")
+	}
+	for _, r := range w.RouteList {
+		fmt.Fprintf(tw, "  %s\t%s\t%s\t%d\t%s\t%s\n", r.Name, r.Address, r.Kind, r.Priority, formatMs(r.TargetMs), formatMs(r.TimeoutMs))
+	}
+	_ = tw.Flush()
+	for _, s := range w.ServiceList {
+		if s.HealthPath != "" {
+			fmt.Printf("  health path of service %s: %s\n", s.ID, s.HealthPath)
+		}
+	}
+}
+
+// formatMs formats a time in milliseconds, of which zero means that none is stated.
+func formatMs(ms float64) string {
+	if ms == 0 {
+		return "not stated"
+	}
+	return strconv.FormatFloat(ms, 'f', -1, 64) + " ms"
+}
+
 // printEntry prints the report of an entry instance.
 func (c *statusCommand) printEntry(w status.WireReport) {
 	fmt.Printf("%s in %s: document version %d, keys version %d\n", w.Instance, w.Domain, w.Document, w.Keys)
--- a/internal/oper/status/relay.go
+++ b/internal/oper/status/relay.go
@@ -39,6 +39,28 @@
 	Unreadable   []string            `json:"unreadableEntries"`
 	Flows        int                 `json:"flows"`
 	Upstreams    []WireRelayUpstream `json:"upstreams"`
+	// RouteList and ServiceList describe the active route configuration; instances of earlier builds report neither.
+	RouteList   []WireRelayRoute   `json:"routeList"`
+	ServiceList []WireRelayService `json:"serviceList"`
+}
+
+// WireRelayRoute is one route of the active configuration, the JSON form of a model.Route without its targets.
+type WireRelayRoute struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	// Kind is the name of a model.RouteKind.
+	Kind     string `json:"kind"`
+	Priority int    `json:"priority"`
+	// TargetMs and TimeoutMs are zero if the configuration does not state them.
+	TargetMs  float64 `json:"targetLatencyMs"`
+	TimeoutMs float64 `json:"timeoutMs"`
+}
+
+// WireRelayService is one service of the active configuration.
+type WireRelayService struct {
+	ID string `json:"id"`
+	// HealthPath is empty if the configuration states none.
+	HealthPath string `json:"healthPath"`
 }
 
 // WireRelayUpstream is one upstream as the reporting instance sees it, the JSON form of a model.DirectView.
@@ -75,6 +97,7 @@
 	for _, d := range r.Snapshot.Out {
 		w.DomainsOut = append(w.DomainsOut, string(d))
 	}
+	w.RouteList, w.ServiceList = routesToWire(r.Snapshot.Routes.Routes), servicesToWire(r.Snapshot.Routes.Services)
 	for _, u := range r.Upstreams {
 		w.Upstreams = append(w.Upstreams, WireRelayUpstream{
 			ID:        string(u.ID),
@@ -92,3 +115,28 @@
 	}
 	return w
 }
+
+func routesToWire(list []model.Route) (out []WireRelayRoute) {
+	for _, r := range list {
+		out = append(out, WireRelayRoute{
+			Name:      r.Name,
+			Address:   r.Address.String(),
+			Kind:      r.Kind.String(),
+			Priority:  int(r.Priority),
+			TargetMs:  milliseconds(r.Target),
+			TimeoutMs: milliseconds(r.Timeout),
+		})
+	}
+	return out
+}
+
+func servicesToWire(list []model.ServiceLimits) (out []WireRelayService) {
+	for _, s := range list {
+		out = append(out, WireRelayService{ID: string(s.ID), HealthPath: s.HealthPath})
+	}
+	return out
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- a/internal/peer/share/delta.go
+++ b/internal/peer/share/delta.go
@@ -55,7 +55,8 @@
 }
 
 func sameRoute(a, b *model.Route) bool {
-	return a.Address == b.Address && a.Kind == b.Kind && a.Timeout == b.Timeout && slices.Equal(a.Targets, b.Targets)
+	return a.Address == b.Address && a.Kind == b.Kind && a.Timeout == b.Timeout && a.Priority == b.Priority && a.Target == b.Target &&
+		slices.Equal(a.Targets, b.Targets)
 }
 
 // merge applies a reply to have, the snapshot that the caller sent the digest of.
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -122,12 +122,18 @@
 	Services []Service
 }
 
-// Route is a model.Route on the wire. Timeout is in nanoseconds.
+// Route is a model.Route on the wire. Timeout and Target are in nanoseconds.
 type Route struct {
 	Name    string
 	Address string
+	// Kind is a model.RouteKind. An instance of an earlier build treats a kind that it does not know, such as model.RouteDownload, as not idempotent.
 	Kind    uint8
 	Timeout int64
+	// Priority is the priority plus one, since gob leaves zero in place of a field that is absent. Zero, from an instance of an earlier build, means that
+	// no priority is stated.
+	Priority int
+	// Target is zero if no target latency is stated, and in replies of an earlier build.
+	Target  int64
 	Targets []Target
 }
 
@@ -143,6 +149,8 @@
 	ColdRate    float64
 	ColdFor     int64
 	Connections int
+	// HealthPath is empty if none is stated, and in replies of an earlier build.
+	HealthPath string
 }
 
 // toWire returns a reply of the given scope; missing holds the changes for scopeChanges.
@@ -199,18 +207,33 @@
 		if !include(r.Name) {
 			continue
 		}
-		w := Route{Name: r.Name, Address: r.Address.String(), Kind: uint8(r.Kind), Timeout: int64(r.Timeout)}
+		w := Route{
+			Name: r.Name, Address: r.Address.String(), Kind: uint8(r.Kind), Timeout: int64(r.Timeout), Priority: priorityToWire(r.Priority), Target: int64(r.Target),
+		}
 		for _, target := range r.Targets {
 			w.Targets = append(w.Targets, Target{Service: string(target.Service), Weight: target.Weight})
 		}
 		out.Routes = append(out.Routes, w)
 	}
 	for _, s := range t.Services {
-		out.Services = append(out.Services, Service{ID: string(s.ID), ColdRate: s.ColdRate, ColdFor: int64(s.ColdFor), Connections: s.Connections})
+		out.Services = append(out.Services, Service{ID: string(s.ID), ColdRate: s.ColdRate, ColdFor: int64(s.ColdFor), Connections: s.Connections, HealthPath: s.HealthPath})
 	}
 	return out
 }
 
+// priorityToWire returns the value of Route.Priority for a priority.
+func priorityToWire(p model.Priority) int {
+	return int(p) + 1
+}
+
+// priorityFromWire returns the priority for a value of Route.Priority; it is the lowest one if none is stated or the value is out of range.
+func priorityFromWire(n int) model.Priority {
+	if n < 1 || n > int(model.LowestPriority)+1 {
+		return model.LowestPriority
+	}
+	return model.Priority(n - 1)
+}
+
 func fromWire(w *NextReply) (snap model.Snapshot, err error) {
 	snap = model.Snapshot{
 		Revision: model.Revision(w.Revision), Era: model.Era(w.Era), Age: time.Duration(w.Age), GraceLeft: time.Duration(w.Unsure), Ordinal: model.Ordinal{Index: w.Index, Count: w.Of},
@@ -252,7 +275,10 @@
 		if err != nil {
 			return t, err
 		}
-		route := model.Route{Name: r.Name, Address: address, Kind: model.RouteKind(r.Kind), Timeout: time.Duration(r.Timeout)}
+		route := model.Route{
+			Name: r.Name, Address: address, Kind: model.RouteKind(r.Kind), Timeout: time.Duration(r.Timeout),
+			Priority: priorityFromWire(r.Priority), Target: max(time.Duration(r.Target), 0),
+		}
 		for _, target := range r.Targets {
 			route.Targets = append(route.Targets, model.Target{Service: model.ServiceID(target.Service), Weight: target.Weight})
 		}
@@ -260,7 +286,7 @@
 	}
 	for _, s := range w.Services {
 		t.Services = append(t.Services, model.ServiceLimits{
-			ID: model.ServiceID(s.ID), ColdRate: s.ColdRate, ColdFor: time.Duration(s.ColdFor), Connections: s.Connections,
+			ID: model.ServiceID(s.ID), ColdRate: s.ColdRate, ColdFor: time.Duration(s.ColdFor), Connections: s.Connections, HealthPath: s.HealthPath,
 		})
 	}
 	return t, nil
