--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -120,6 +120,9 @@
 // resetWaitingFlows resets the idempotent flows that wait for a dead upstream: their callers' next retransmission may come after the request's
 // deadline. Other callers do not repeat their requests, so their flows are reset only at their next packet, if they have ended.
 func (e *Engine) resetWaitingFlows(now model.Instant, u *roster.Upstream) {
+	if e.endReason(now, model.RouteIdempotent, u) == model.ReasonNone {
+		return
+	}
 	e.flows.Each(func(key model.FlowKey, f *flow) bool {
 		r := e.routes[key.Service]
 		if f.up == u && f.waits(now) && r != nil && r.Kind.Idempotent() && e.endReason(now, r.Kind, u) != model.ReasonNone {
--- a/internal/oper/shell/relay.go
+++ b/internal/oper/shell/relay.go
@@ -73,7 +73,7 @@
 }
 
 func (c *relayCommand) config(inst *relayInstance) relay.Config {
-	s := &inst.settings
+	s, routes := &inst.settings, platform.Routes(inst.client)
 	cfg := relay.Config{
 		Limits:             relayLimits(s),
 		Instance:           s.Instance,
@@ -85,10 +85,11 @@
 		ReaderRecords:      platform.NewReaderRecords(inst.client),
 		Codec:              platform.Codec{},
 		Upstreams:          platform.Upstreams(inst.client),
-		Routes:             platform.Routes(inst.client),
+		Routes:             routes,
 		DomainsOut:         platform.DomainsOut(inst.client),
 		SinceStoreResponse: inst.client.SinceLastResponse,
 	}
+	routes.OnUnreadable(inst.logInvalidRoutes)
 	if c.metricsPort != 0 {
 		cfg.Metrics = netip.AddrPortFrom(s.Packets.Addr(), uint16(c.metricsPort))
 	}
@@ -117,6 +118,11 @@
 	settings platform.Settings
 }
 
+// logInvalidRoutes logs why a route configuration is invalid; it names the route.
+func (inst *relayInstance) logInvalidRoutes(err error) {
+	logs.Named(inst.log, "platform").With("instance", inst.settings.Instance).With("error", err).Error("A route configuration is invalid.")
+}
+
 // reload applies changed settings, except those that sockets and names depend on, which need a restart.
 func (inst *relayInstance) reload(text []byte) {
 	next, err := platform.ParseSettings(text)
