--- a/internal/core/model/registry.go
+++ b/internal/core/model/registry.go
@@ -57,6 +57,8 @@
 	Kind    RouteKind
 	// Timeout is the maximum duration of a request.
 	Timeout time.Duration
+	// Target is the target latency of requests; zero means not stated.
+	Target time.Duration
 	// Targets are the services that new flows are distributed over; never empty.
 	Targets []Target
 }
@@ -70,6 +72,8 @@
 	ColdFor time.Duration
 	// Connections is the maximum number of open flows.
 	Connections int
+	// HealthPath is the HTTP path of health requests to the upstreams of the service; empty if there is none.
+	HealthPath string
 }
 
 // RouteTable is one accepted version of the routing configuration.
