Distribute the loads of upstreams with the polls of the reader

Cause: only the reader of a failure domain can ask its upstreams for their load; all instances need it. Change: replies to polls carry the known loads in the order of the upstreams' IDs, with an age for each. Readers send theirs with the polls of the lead reader and get those of all domains. The time that arguments were under way is bounded by a stamp in the last reply, so no clock is shared.

--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -51,6 +51,8 @@
 	OnSent func(bytes int)
 	// OnSuspicion is called with each suspicion received from another instance.
 	OnSuspicion func(model.Suspicion)
+	// OnLoads, if not nil, is called with loads of upstreams received from another instance that are newer than what this one knows.
+	OnLoads func(model.LoadReport)
 	// Counts holds the counters.
 	Counts *count.Set
 }
@@ -82,6 +84,7 @@
 	suspicionSeq uint64
 	// seenSeqs holds the sequence number of the last suspicion received from the peer that was last polled.
 	seenSeqs map[netip.AddrPort]uint64
+	loads    loadTable
 }
 
 // New returns a Share without a snapshot. It does not answer peers before Run is called.
@@ -90,7 +93,7 @@
 		cfg:              cfg,
 		links:            links.New(links.Config{Name: "share", Local: cfg.Listener.Addr(), Counts: cfg.Counts, OnSent: cfg.OnSent}),
 		fullReplyLimiter: newFullReplyLimiter(cfg.LinkMbps), changed: make(chan struct{}),
-		suspicionLimiter: rate.NewLimiter(suspicionRate, suspicionRate), suspicionSeq: 1, seenSeqs: map[netip.AddrPort]uint64{},
+		suspicionLimiter: rate.NewLimiter(suspicionRate, suspicionRate), suspicionSeq: 1, seenSeqs: map[netip.AddrPort]uint64{}, loads: newLoadTable(),
 	}
 }
 
@@ -149,7 +152,7 @@
 		return snap, err
 	}
 	s.handleSuspicions(peer, &reply)
-	return snapshotFrom(have, &reply)
+	return s.applyReply(have, &args, &reply)
 }
 
 // PollAsReader is Poll for the reader of one failure domain at that of another. The returned snapshot also holds the reader records; suspicions of
@@ -161,11 +164,26 @@
 		}
 	}()
 	args := NextArgs{From: string(s.cfg.Self), Have: have.Digest(), Wait: int64(wait), Readers: true}
+	s.addLoads(&args, peer)
 	reply, err := s.next(ctx, peer, &args)
+	s.recordLoadStamp(peer, &reply, err)
 	if err != nil {
 		return snap, err
 	}
-	return snapshotFrom(have, &reply)
+	return s.applyReply(have, &args, &reply)
+}
+
+// applyReply returns have, the caller's snapshot, with the changes in a reply applied, and passes on the loads in it.
+func (s *Share) applyReply(have model.Snapshot, args *NextArgs, reply *NextReply) (snap model.Snapshot, err error) {
+	snap, err = snapshotFrom(have, reply)
+	if err == nil && len(reply.Loads) > 0 {
+		digest := args.Have
+		if reply.Scope != scopeNothing {
+			digest = snap.Digest()
+		}
+		s.receiveLoads(&snap, digest, reply)
+	}
+	return snap, err
 }
 
 // next makes the call of a poll. The age in the reply that it returns is that at the return, never less.
@@ -174,7 +192,9 @@
 	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
 		return reply, err
 	}
-	reply.Age += int64(transit(time.Since(start), wait, time.Duration(reply.Held)))
+	under := int64(transit(time.Since(start), wait, time.Duration(reply.Held)))
+	reply.Age += under
+	reply.LoadAge = addAge(reply.LoadAge, under)
 	return reply, nil
 }
 
@@ -223,6 +243,7 @@
 // wait is zero or the caller lacks suspicions.
 func (c *calls) Next(args NextArgs, reply *NextReply) error {
 	s, start := c.share, time.Now()
+	s.mergeSentLoads(&args)
 	s.mu.Lock()
 	changed := s.changed
 	pending := args.Heard != 0 && args.Heard < s.suspicionSeq
@@ -256,6 +277,7 @@
 	if reply.Revision != 0 {
 		reply.Index, reply.Of = ordinal.Index, ordinal.Count
 		reply.Held = max(int64(now.Sub(start)), 1)
+		s.fillLoads(now, args.Readers, reply)
 	}
 	return nil
 }
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -19,6 +19,17 @@
 	Heard uint64
 	// Readers is set if the caller is the reader of another failure domain: it gets the reader records and no ordinal.
 	Readers bool
+	// Loads, LoadsOf, LoadAge and LoadAges hold the loads that the caller knows, as in NextReply; a caller that sets Readers sends them.
+	Loads    []byte
+	LoadsOf  uint64
+	LoadAge  int64
+	LoadAges []byte
+	// LoadStamp is that of the last reply to the caller, and LoadSince the time from its arrival to the poll, in nanoseconds. Together they bound the time
+	// that the poll was under way without a clock that two machines share.
+	LoadStamp int64
+	LoadSince int64
+	// LoadUrgent is set while the load of a service exceeds its slots.
+	LoadUrgent bool
 }
 
 // scope says how much of the snapshot a reply holds.
@@ -67,6 +78,17 @@
 	OutAt uint64
 	// Readers holds the reader records of all failure domains, for callers that set NextArgs.Readers.
 	Readers []Reader
+	// Loads holds the known loads of the upstreams of the snapshot, packed in the order of their IDs; empty if none is known. LoadsOf is the digest of the
+	// snapshot that lists them.
+	Loads   []byte
+	LoadsOf uint64
+	// LoadAge is the age of the youngest of Loads when the reply was written, in nanoseconds.
+	LoadAge int64
+	// LoadAges holds by how much each of Loads is older than LoadAge, in units of loadAgeUnit, or noLoad if there is nothing to tell of the upstream. If it
+	// is empty, all have the age LoadAge.
+	LoadAges []byte
+	// LoadStamp is the time at which the reply was written, by a clock that only this instance reads, in nanoseconds; zero if NextArgs.Readers is not set.
+	LoadStamp int64
 }
 
 // Reader is a model.ReaderRecord on the wire.
