Collect the loads of upstreams at the reader of each failure domain

Cause: nothing asks the upstreams for the load that they state in answers to health requests. What they state goes to the gauges of the own roster and, through package share, to those of the others.

--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -4,6 +4,7 @@
 	"hawthorncourse/internal/core/health"
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/core/place"
+	"hawthorncourse/internal/load/gauge"
 )
 
 // State is the registration state of one run of an upstream.
@@ -57,7 +58,9 @@
 	// ColdUntil is the end of the cold start.
 	ColdUntil model.Instant
 	// Load is the load that this instance puts on the upstream.
-	Load   place.Load
+	Load place.Load
+	// Gauge is the load that the run states, with what this instance has sent since.
+	Gauge  gauge.Gauge
 	Health health.Tracker
 	// superseded is true once a later run uses the address, as far as start and revision tell, and replaced once there is a later run under the ID.
 	superseded, replaced bool
--- a/internal/load/gauge/gauge_test.go
+++ b/internal/load/gauge/gauge_test.go
@@ -19,7 +19,9 @@
 // TestWork checks the estimate of the requests in progress, from reports and from what this instance has sent.
 func TestWork(t *testing.T) {
 	report := func(now time.Duration, running, queued int, age time.Duration) func(*gauge.Gauge) {
-		return func(g *gauge.Gauge) { g.Report(at(now), gauge.Report{Running: running, Queued: queued, Slots: 2, Age: age}) }
+		return func(g *gauge.Gauge) {
+			g.Report(at(now), gauge.Report{Running: running, Queued: queued, Slots: 2, Age: age})
+		}
 	}
 	sent := func(now time.Duration) func(*gauge.Gauge) { return func(g *gauge.Gauge) { g.Sent(at(now)) } }
 	done := func(now time.Duration) func(*gauge.Gauge) { return func(g *gauge.Gauge) { g.Done(at(now)) } }
@@ -31,20 +33,21 @@
 		want  float64
 		known bool
 	}{
-		"no report":                                   {steps: steps{sent(0)}, want: 1},
-		"a report":                                    {steps: steps{report(0, 2, 14, 0)}, want: 16, known: true},
-		"a report of an idle upstream":                {steps: steps{report(0, 0, 0, 0)}, known: true},
-		"half a report after a second":                {steps: steps{report(0, 2, 6, 0)}, now: time.Second, want: 4, known: true},
-		"a quarter of a report after two seconds":     {steps: steps{report(0, 2, 6, 0)}, now: 2 * time.Second, want: 2, known: true},
-		"a report that was old at its arrival":        {steps: steps{report(0, 2, 6, time.Second)}, want: 4, known: true},
-		"a report of three seconds":                   {steps: steps{report(0, 2, 6, 0)}, now: gauge.MaxAge, want: 1, known: true},
-		"a report older than three seconds":           {steps: steps{report(0, 2, 6, 0)}, now: gauge.MaxAge + 1},
-		"sent after the report":                       {steps: steps{report(0, 2, 6, 0), sent(0), sent(0)}, want: 10, known: true},
-		"sent after the report, and it fades":         {steps: steps{report(0, 2, 6, 0), sent(0), sent(0)}, now: time.Second, want: 6, known: true},
-		"sent before the report, which contains it":   {steps: steps{sent(0), report(time.Second, 1, 0, 0)}, now: time.Second, want: 1, known: true},
-		"sent just before the report":                 {steps: steps{sent(0), report(0, 1, 0, 0)}, want: 1, known: true},
-		"in progress all the time":                    {steps: steps{sent(0), report(time.Second, 1, 0, 0)}, now: 3 * time.Second, want: 1, known: true},
-		"sent between the report and its arrival":     {steps: steps{sent(800 * time.Millisecond), report(time.Second, 0, 0, 500*time.Millisecond)}, now: time.Second, want: 1, known: true},
+		"no report":                                 {steps: steps{sent(0)}, want: 1},
+		"a report":                                  {steps: steps{report(0, 2, 14, 0)}, want: 16, known: true},
+		"a report of an idle upstream":              {steps: steps{report(0, 0, 0, 0)}, known: true},
+		"half a report after a second":              {steps: steps{report(0, 2, 6, 0)}, now: time.Second, want: 4, known: true},
+		"a quarter of a report after two seconds":   {steps: steps{report(0, 2, 6, 0)}, now: 2 * time.Second, want: 2, known: true},
+		"a report that was old at its arrival":      {steps: steps{report(0, 2, 6, time.Second)}, want: 4, known: true},
+		"a report of three seconds":                 {steps: steps{report(0, 2, 6, 0)}, now: gauge.MaxAge, want: 1, known: true},
+		"a report older than three seconds":         {steps: steps{report(0, 2, 6, 0)}, now: gauge.MaxAge + 1},
+		"sent after the report":                     {steps: steps{report(0, 2, 6, 0), sent(0), sent(0)}, want: 10, known: true},
+		"sent after the report, and it fades":       {steps: steps{report(0, 2, 6, 0), sent(0), sent(0)}, now: time.Second, want: 6, known: true},
+		"sent before the report, which contains it": {steps: steps{sent(0), report(time.Second, 1, 0, 0)}, now: time.Second, want: 1, known: true},
+		"sent just before the report":               {steps: steps{sent(0), report(0, 1, 0, 0)}, want: 1, known: true},
+		"in progress all the time":                  {steps: steps{sent(0), report(time.Second, 1, 0, 0)}, now: 3 * time.Second, want: 1, known: true},
+		"sent between the report and its arrival": {now: time.Second, want: 1, known: true,
+			steps: steps{sent(800 * time.Millisecond), report(time.Second, 0, 0, 500*time.Millisecond)}},
 		"done after the report":                       {steps: steps{sent(0), report(time.Second, 1, 3, 0), done(time.Second)}, now: time.Second, want: 3, known: true},
 		"done without a request":                      {steps: steps{done(0), report(0, 1, 0, 0), sent(0)}, want: 2, known: true},
 		"the upstream has finished what seems to run": {steps: steps{sent(0), sent(0), report(time.Second, 0, 0, 0)}, now: time.Second, want: 0, known: true},
--- a/internal/oper/shell/relay.go
+++ b/internal/oper/shell/relay.go
@@ -87,6 +87,7 @@
 		Upstreams:          platform.Upstreams(inst.client),
 		Routes:             platform.Routes(inst.client),
 		DomainsOut:         platform.DomainsOut(inst.client),
+		ParseHealth:        platform.ParseHealth,
 		SinceStoreResponse: inst.client.SinceLastResponse,
 	}
 	if c.metricsPort != 0 {
--- a/internal/peer/share/loads.go
+++ b/internal/peer/share/loads.go
@@ -217,23 +217,30 @@
 	}
 	merged.Digest = order.digest
 	for i, load := range list {
-		of := time.Duration(age)
+		of, stated := time.Duration(age), load.Known
 		if len(ages) > 0 {
-			of = time.Duration(addAge(age, int64(ages[i])*int64(loadAgeUnit)))
+			of, stated = time.Duration(addAge(age, int64(ages[i])*int64(loadAgeUnit))), ages[i] != noLoad
 		}
-		run, at := order.runs[i], now.Add(-of)
-		if of >= gauge.MaxAge || !(load.Known || (len(ages) > 0 && ages[i] != noLoad)) {
+		run := order.runs[i]
+		if !stated || !s.loads.merge(now, run, of, load) {
 			continue
 		}
-		if old, ok := s.loads.entries[run.id]; ok && old.boot == run.boot && at.Sub(old.at) <= sameLoad {
-			continue
-		}
-		s.loads.set(run.id, loadEntry{boot: run.boot, work: load.Sum, known: load.Known, at: at})
 		merged.Loads = append(merged.Loads, model.UpstreamLoad{ID: run.id, Boot: run.boot, Work: load.Sum, Known: load.Known, Age: of})
 	}
 	return merged
 }
 
+// merge takes over a load unless it is too old or not newer than the known one. It reports whether it did.
+func (t *loadTable) merge(now time.Time, run loadRun, age time.Duration, load gauge.Packed) bool {
+	at := now.Add(-age)
+	old, ok := t.entries[run.id]
+	if age >= gauge.MaxAge || (ok && old.boot == run.boot && at.Sub(old.at) <= sameLoad) {
+		return false
+	}
+	t.set(run.id, loadEntry{boot: run.boot, work: load.Sum, known: load.Known, at: at})
+	return true
+}
+
 // set replaces the load of an upstream.
 func (t *loadTable) set(id model.UpstreamID, e loadEntry) {
 	t.entries[id] = e
--- a/internal/run/relay/apply.go
+++ b/internal/run/relay/apply.go
@@ -43,9 +43,10 @@
 	snap = snap.KeepNewer(r.snapshot)
 	arrived := r.now()
 	snap.GraceLeft = r.outages.Confirm(arrived, arrived.Add(-snap.Age), snap.Era, snap.GraceLeft)
-	newer := snap.Digest() != r.snapshot.Digest()
+	digest := snap.Digest()
+	newer := digest != r.snapshotDigest
 	first := r.snapshot.Revision == 0
-	r.snapshot = snap
+	r.snapshot, r.snapshotDigest = snap, digest
 	r.revision.Store(uint64(snap.Revision))
 	r.era.Store(uint64(snap.Era))
 	r.confirmedAt.Store(int64(arrived.Add(-snap.Age)))
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -37,6 +37,7 @@
 		f.applyLimits(ctx)
 		reader := s.ReaderRecord()
 		r.reader.Store(&reader)
+		r.reading.Store(s.IsReader())
 		step, wait := s.Next(r.now())
 		r.waitForStep(ctx, wait)
 		if ctx.Err() != nil {
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -215,7 +215,7 @@
 // updateGauges updates the gauges of upstreams, flows and the snapshot.
 func (r *Relay) updateGauges(now model.Instant) {
 	states := map[roster.State]int{}
-	ejected, full := 0, 0
+	ejected, full, known, oldest := 0, 0, 0, time.Duration(0)
 	for _, u := range r.engine.Roster().All() {
 		states[u.State]++
 		if u.Health.Ejected() {
@@ -224,12 +224,17 @@
 		if u.Health.Full() {
 			full++
 		}
+		if age, ok := u.Gauge.Age(now); ok {
+			known, oldest = known+1, max(oldest, age)
+		}
 	}
 	for _, s := range []roster.State{roster.StateListed, roster.StateMissing, roster.StateUnreadable} {
 		r.counts.Gauge("upstreams." + s.String()).Update(float64(states[s]))
 	}
 	r.counts.Gauge("upstreams.barred").Update(float64(ejected))
 	r.counts.Gauge("upstreams.full").Update(float64(full))
+	r.counts.Gauge("loads.known").Update(float64(known))
+	r.counts.Gauge("loads.oldest_age_seconds").Update(oldest.Seconds())
 	r.counts.Gauge("flows").Update(float64(r.engine.FlowCount()))
 	queued, delay := r.egress.Queued()
 	r.counts.Gauge("egress.queued_bytes").Update(float64(queued))
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -94,6 +95,8 @@
 	Upstreams  Source[model.Registration]
 	Routes     Source[model.RouteTable]
 	DomainsOut Source[model.DomainID]
+	// ParseHealth parses the answer of an upstream to a health request; nil if upstreams are not asked for their load.
+	ParseHealth func(status int, header http.Header) model.HealthAnswer
 	// SinceStoreResponse returns the time since the platform's store last sent any data.
 	SinceStoreResponse func() time.Duration
 	// LogsDropped returns the number of log lines lost since the last call; nil for a log that loses none.
@@ -111,11 +114,12 @@
 
 	engine *direct.Engine
 	share  *share.Share
-	// snapshot is the current snapshot of the platform's store, and outages tracks how long a missing registration is not conclusive after an
-	// outage of the store. Both are guarded by snapshotMu.
-	snapshotMu sync.Mutex
-	snapshot   model.Snapshot
-	outages    *fresh.OutageTracker
+	// snapshot is the current snapshot of the platform's store, snapshotDigest is its digest, and outages tracks how long a missing registration is not
+	// conclusive after an outage of the store. All are guarded by snapshotMu.
+	snapshotMu     sync.Mutex
+	snapshot       model.Snapshot
+	snapshotDigest uint64
+	outages        *fresh.OutageTracker
 	// scheduler is used by the follow goroutine only.
 	scheduler *fresh.Scheduler
 	// limits holds the active limits, and pendingLimits changed ones that the follow goroutine has not applied yet.
@@ -137,6 +141,8 @@
 	suspicions *ring.Ring[model.Suspicion]
 	// reader is the reader record of the failure domain as last read.
 	reader atomic.Pointer[model.ReaderRecord]
+	// reading is set while this instance is the reader of the failure domain.
+	reading atomic.Bool
 	// refresh requests a read before the next step is due.
 	refresh chan struct{}
 
@@ -211,7 +217,7 @@
 	r.ordinals = newOrdinalAllocator(r.scheduler, r.now)
 	r.share = share.New(share.Config{
 		Self: cfg.Instance, Listener: r.control, Ordinals: r.ordinals, LinkMbps: cfg.LinkMbps, OnSuspicion: r.handleSuspicion, Counts: r.counts,
-		OnSent: func(bytes int) { r.callBytes.Add(int64(bytes)) },
+		OnLoads: r.handleLoads, OnSent: func(bytes int) { r.callBytes.Add(int64(bytes)) },
 	})
 	return r, nil
 }
@@ -258,7 +264,7 @@
 	defer cancel()
 	g, work := errgroup.WithContext(work)
 	r.work = work
-	for _, task := range []func(context.Context) error{r.read, r.decide, r.follow, r.pollSeeds, r.sendSuspicions, r.share.Run, r.serveReady, r.serveMetrics} {
+	for _, task := range []func(context.Context) error{r.read, r.decide, r.follow, r.pollSeeds, r.sendSuspicions, r.collectLoads, r.share.Run, r.serveReady, r.serveMetrics} {
 		g.Go(func() error { return task(work) })
 	}
 	g.Go(func() error {
