Tests for urgent loads of other failure domains, odd loads and the reader role

Cause: the exchange between failure domains under overload, odd loads in the arguments of a poll, and the flag that starts the collection had no test.

--- a/internal/peer/share/loads_test.go
+++ b/internal/peer/share/loads_test.go
@@ -349,3 +349,82 @@
 	t.Logf("%d bytes without loads, %d with", without, with)
 	p.True(with-without <= 3*150+40)
 }
+
+// TestUrgentLoadsOfAnotherDomain guards against an overloaded failure domain whose loads reach the others a second late: its reader polls the lead reader
+// more often, and what it sends answers the polls that wait there.
+func TestUrgentLoadsOfAnotherDomain(t *testing.T) {
+	const wait = 5 * time.Second
+	cases := map[string]struct {
+		urgent bool
+		// poll is the longest time that the polls may take.
+		poll time.Duration
+	}{
+		"overloaded":            {urgent: true, poll: time.Second},
+		"nothing is overloaded": {poll: wait},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			lead, west, follower := newLoadPeer(t, "lead"), newLoadPeer(t, "west"), newLoadPeer(t, "follower")
+			snap := newSnapshot(10, 20, 2)
+			lead.Publish(snap)
+			west.Publish(snap)
+			_, err := west.PollAsReader(t.Context(), lead.addr, snap, 0)
+			is.NoErr(err)
+			start, waited := time.Now(), make(chan time.Duration)
+			go func() {
+				_, _ = follower.Poll(t.Context(), lead.addr, snap, wait-time.Second)
+				waited <- time.Since(start)
+			}()
+			time.Sleep(100 * time.Millisecond)
+			r := loadsOf(&snap, 0, none)
+			r.Urgent = tc.urgent
+			west.PublishLoads(r)
+			_, err = west.PollAsReader(t.Context(), lead.addr, snap, wait-time.Second)
+			is.NoErr(err)
+			took, followerTook := time.Since(start), <-waited
+			t.Logf("the reader polled for %v, the follower for %v", took, followerTook)
+			is.True(took < tc.poll && followerTook < tc.poll)
+			is.Equal(took < time.Second, tc.urgent)
+			is.Equal(followerTook < time.Second, tc.urgent)
+			is.Equal(len(follower.take()) == 20, tc.urgent) // Loads that waited for the whole poll are too old.
+		})
+	}
+}
+
+// TestOddSentLoads checks that the arguments of a poll with odd loads leave the called instance working, and its loads as they are.
+func TestOddSentLoads(t *testing.T) {
+	lead := newLoadPeer(t, "lead")
+	snap := newSnapshot(10, 2, 2)
+	lead.Publish(snap)
+	client, err := rpc.Dial("tcp", lead.addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	cases := map[string]share.NextArgs{
+		"too few":           {Loads: []byte{0, 1}, LoadsOf: snap.Digest()},
+		"half a load":       {Loads: []byte{0, 1, 0}, LoadsOf: snap.Digest()},
+		"a megabyte":        {Loads: make([]byte, 1_000_000), LoadsOf: snap.Digest()},
+		"another snapshot":  {Loads: []byte{0, 1, 0, 1}, LoadsOf: snap.Digest() + 1},
+		"no snapshot":       {Loads: []byte{0, 1, 0, 1}},
+		"an age below zero": {Loads: []byte{0, 1, 0, 1}, LoadsOf: snap.Digest(), LoadAge: -1 << 63},
+		"an immense age":    {Loads: []byte{0, 1, 0, 1}, LoadsOf: snap.Digest(), LoadAge: 1<<63 - 1},
+		"too many ages":     {Loads: []byte{0, 1, 0, 1}, LoadsOf: snap.Digest(), LoadAges: make([]byte, 3)},
+		"from a follower":   {Loads: []byte{0, 1, 0, 1}, LoadsOf: snap.Digest(), From: "follower"},
+	}
+	for name, args := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			args.Readers = args.From == ""
+			var reply share.NextReply
+			is.NoErr(client.Call("Share.Next", share.NextArgs{Readers: true}, &reply))
+			args.LoadStamp, args.LoadUrgent = reply.LoadStamp, true
+			is.NoErr(client.Call("Share.Next", args, &reply))
+			is.Equal(reply.Revision, uint64(10))
+			is.Equal(len(reply.Loads), 0)
+			is.Equal(len(lead.take()), 0)
+		})
+	}
+}
--- a/internal/run/relay/loads_test.go
+++ b/internal/run/relay/loads_test.go
@@ -423,3 +423,26 @@
 		}
 	}
 }
+
+// TestReadingFollowsRole checks that the goroutine that collects loads learns whether the instance is the reader.
+func TestReadingFollowsRole(t *testing.T) {
+	for holder, reading := range map[model.InstanceID]bool{"self": true, "other": false} {
+		t.Run(string(holder), func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRelay(t)
+			r.cfg.Domain, r.cfg.Control = "east", freeAddr(t)
+			record := model.ReaderRecord{Domain: "east", Holder: holder, Control: freeAddr(t), Revision: 10}
+			r.cfg.ReaderRecords = fakeReaderRecords{fakeSource[model.ReaderRecord]{at: 10, items: []model.ReaderRecord{record}}}
+			r.cfg.Upstreams, r.cfg.Routes, r.cfg.DomainsOut = fakeSource[model.Registration]{at: 10}, fakeSource[model.RouteTable]{at: 10}, fakeSource[model.DomainID]{at: 10}
+			r.cfg.SinceStoreResponse = func() time.Duration { return 0 }
+			r.commands = ring.New[command](commandRingSize)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- r.follow(ctx) }()
+			await(t, "reader record", func() bool { record := r.reader.Load(); return record != nil && record.Holder == holder })
+			await(t, "role", func() bool { return r.reading.Load() == reading })
+			cancel()
+			is.NoErr(<-done)
+		})
+	}
+}
