--- a/internal/peer/share/loads_test.go
+++ b/internal/peer/share/loads_test.go
@@ -262,7 +262,10 @@
 	is.Equal(len(lead.take()), 10)
 
 	lead.stop()
-	poll2()
+	// The connection is closed a moment after the stop.
+	for end := time.Now().Add(time.Second); err == nil && time.Now().Before(end); poll2() {
+		time.Sleep(10 * time.Millisecond)
+	}
 	is.True(err != nil)
 	other := newLoadPeer(t, "other")
 	_, err = other.Poll(t.Context(), west.addr, snap, 0)
