--- a/internal/oper/shell/relay.go
+++ b/internal/oper/shell/relay.go
@@ -87,6 +87,7 @@
 		Upstreams:          platform.Upstreams(inst.client),
 		Routes:             routes,
 		DomainsOut:         platform.DomainsOut(inst.client),
+		ParseHealth:        platform.ParseHealth,
 		SinceStoreResponse: inst.client.SinceLastResponse,
 	}
 	routes.OnUnreadable(inst.logInvalidRoutes)
