--- a/internal/core/model/ids.go
+++ b/internal/core/model/ids.go
@@ -61,9 +61,6 @@
 	return time.Duration(t - u)
 }
 
-// Priority is the priority of a route's requests; 0 is the highest.
-type Priority int
-
 // UpstreamTag is a 32-bit hash of an upstream's ID that identifies it inside a binding.
 type UpstreamTag uint32
 
