Admit new flows by the load of their service's upstreams

Change: the reader's reports of load reach a gate for each service. Its rate follows the load, new flows wait in the order of priority, and those that would not be served within half of their target are refused before they open. If the drawn target of a split route is full and another is not, the flow goes there. It acts only on routes that state a target latency.

--- /dev/null
+++ b/internal/core/direct/admission.go
@@ -0,0 +1,183 @@
+package direct
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hawthorncourse/internal/core/choose"
+	"hawthorncourse/internal/core/model"
+	"hawthorncourse/internal/load/admit"
+)
+
+const (
+	// admissionReserve is the share of the admitted rate that the lowest priority keeps while higher ones want more than there is.
+	admissionReserve = 0.1
+	// admissionQueueLimit bounds the SYNs that wait at one service; admitting more would take longer than their callers wait.
+	admissionQueueLimit = 512
+	// minKnownSlots is the share of a service's slots whose load must be known for its upstreams to count as full.
+	minKnownSlots = 0.5
+)
+
+// admission limits the new flows of services whose upstreams are full. A service has a gate once a SYN arrives on a route to it that states a target
+// latency.
+type admission struct {
+	gates map[model.ServiceID]*admit.Gate
+	// answers averages the time from a request to its answer at the upstreams of each service with a gate.
+	answers map[model.ServiceID]*choose.LatencyAverage
+	// waiting holds the SYNs that wait at the gates, with the copies of each that came here.
+	waiting map[model.FlowKey]*waitingSyn
+}
+
+// waitingSyn is a SYN that waits at the gate of a service.
+type waitingSyn struct {
+	seg     model.Segment
+	copies  synCopies
+	service model.ServiceID
+}
+
+func newAdmission() admission {
+	return admission{gates: map[model.ServiceID]*admit.Gate{}, answers: map[model.ServiceID]*choose.LatencyAverage{}, waiting: map[model.FlowKey]*waitingSyn{}}
+}
+
+// gate returns the gate of a service, or nil if none of its flows is limited.
+func (a *admission) gate(service model.ServiceID, r *route) *admit.Gate {
+	g := a.gates[service]
+	if g == nil && r.Target > 0 {
+		g = admit.New(admit.Config{Reserve: admissionReserve, QueueLimit: admissionQueueLimit})
+		a.gates[service], a.answers[service] = g, &choose.LatencyAverage{}
+	}
+	return g
+}
+
+// admitSyn asks the gate of a new flow's service, and reports whether the flow may be placed now. Otherwise the SYN waits or is refused. If the drawn target
+// of a route is full, another target takes the flow: a caller is better served beyond the configured weights than refused while there is room.
+func (e *Engine) admitSyn(now model.Instant, r *route, seg *model.Segment) (service model.ServiceID, admitted bool) {
+	if e.keepWaiting(seg) {
+		return "", false
+	}
+	service = e.drawTarget(r)
+	verdict := e.offer(now, r, seg, service)
+	for _, other := range r.Targets {
+		if verdict == admit.VerdictAdmit {
+			break
+		}
+		if g := e.admission.gates[other.Service]; other.Service != service && (g == nil || !g.State().Limited) {
+			e.cancelWaiting(seg.Flow)
+			return other.Service, true
+		}
+	}
+	switch verdict {
+	case admit.VerdictWait:
+		e.admission.waiting[seg.Flow] = &waitingSyn{seg: *seg, copies: e.synCopies(seg), service: service}
+		e.actions = append(e.actions, Action{Verb: model.VerbHold, Reason: model.ReasonOverloaded, Flow: seg.Flow})
+	case admit.VerdictRefuse:
+		e.reject(now, seg, e.synCopies(seg), model.ReasonOverloaded)
+	}
+	return service, verdict == admit.VerdictAdmit
+}
+
+// observeAnswer records the time from a request to its answer.
+func (a *admission) observeAnswer(service model.ServiceID, d time.Duration) {
+	if average := a.answers[service]; average != nil {
+		average.Observe(d)
+	}
+}
+
+// keepWaiting handles a copy of a SYN that waits. A SYN of another flow on the same port takes its place.
+func (e *Engine) keepWaiting(seg *model.Segment) bool {
+	w := e.admission.waiting[seg.Flow]
+	if w == nil {
+		return false
+	}
+	if w.seg.Seq != seg.Seq {
+		e.cancelWaiting(seg.Flow)
+		return false
+	}
+	w.copies.add(seg)
+	e.drop(seg, nil, model.ReasonRepeat)
+	return true
+}
+
+func (e *Engine) cancelWaiting(key model.FlowKey) {
+	if w := e.admission.waiting[key]; w != nil {
+		e.admission.gates[w.service].Cancel(key)
+		delete(e.admission.waiting, key)
+	}
+}
+
+func (e *Engine) offer(now model.Instant, r *route, seg *model.Segment, service model.ServiceID) admit.Verdict {
+	g := e.admission.gate(service, r)
+	if g == nil {
+		return admit.VerdictAdmit
+	}
+	return g.Offer(now, admit.Request{Key: seg.Flow, Caller: seg.Flow.Caller.Addr(), Priority: r.Priority, Target: r.Target, Arrived: now})
+}
+
+// releaseWaiting places or refuses the waiting SYNs whose turn has come.
+func (e *Engine) releaseWaiting(now model.Instant) {
+	if len(e.admission.waiting) == 0 {
+		return
+	}
+	for _, service := range e.admission.services() {
+		for {
+			req, verdict, ok := e.admission.gates[service].Next(now)
+			if !ok {
+				break
+			}
+			e.finishWaiting(now, req.Key, verdict)
+		}
+	}
+}
+
+// services returns the services with a gate, in order: the table has none, and a replay must give the same result each time.
+func (a *admission) services() []model.ServiceID {
+	return slices.Sorted(maps.Keys(a.gates))
+}
+
+func (e *Engine) finishWaiting(now model.Instant, key model.FlowKey, verdict admit.Verdict) {
+	w := e.admission.waiting[key]
+	if w == nil {
+		return
+	}
+	delete(e.admission.waiting, key)
+	r := e.routes[key.Service]
+	switch {
+	case r == nil:
+		e.reject(now, &w.seg, w.copies, model.ReasonNoRoute)
+	case verdict == admit.VerdictAdmit:
+		e.placeNew(now, r, &w.seg, w.copies, w.service)
+	default:
+		e.reject(now, &w.seg, w.copies, model.ReasonOverloaded)
+	}
+}
+
+// UpdateLoads passes the load of the usable upstreams of each service to its gate, once for each new set of reports. The actions are valid until the next
+// call.
+func (e *Engine) UpdateLoads(now model.Instant) []Action {
+	e.actions = e.actions[:0]
+	for _, service := range e.admission.services() {
+		e.admission.gates[service].Update(now, e.room(now, service))
+	}
+	e.releaseWaiting(now)
+	return e.actions
+}
+
+// room returns the load of the upstreams of a service that take new flows, or would if they were not full. A failure domain that seems partitioned counts: its
+// upstreams take flows of other instances, and their loads are known only while its reader is in touch.
+func (e *Engine) room(now model.Instant, service model.ServiceID) (room admit.Room) {
+	slots := 0
+	for _, u := range e.roster.ByService(service) {
+		if !e.roster.Usable(u) || u.Cold(now) || u.Health.Silent() {
+			continue
+		}
+		slots += u.Slots
+		if work, known := u.Gauge.Work(now); known {
+			room.Slots += u.Slots
+			room.Work += float64(work)
+		}
+	}
+	room.Answer = e.admission.answers[service].Mean()
+	room.Known = room.Slots > 0 && float64(room.Slots) >= minKnownSlots*float64(slots)
+	return room
+}
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -138,6 +138,7 @@
 	handshakes    handshakeEstimator
 	domains       map[model.DomainID]*health.DomainTracker
 	suspicions    suspicions
+	admission     admission
 	cold          coldLimiter
 	// ordinal is the number of this instance within its failure domain, valid until ordinalUntil.
 	ordinal      model.Ordinal
@@ -192,6 +193,7 @@
 		retryBudget:   choose.RetryBudget{Percent: retryBudgetPercent},
 		domains:       map[model.DomainID]*health.DomainTracker{},
 		suspicions:    newSuspicions(),
+		admission:     newAdmission(),
 		cold:          coldLimiter{},
 		unknownTags:   recent.New[unknownTag, model.Instant](unknownTagLimit),
 		unrouted:      recent.New[model.FlowKey, model.Instant](unroutedLimit),
@@ -280,6 +282,7 @@
 	e.actions = e.actions[:0]
 	e.expireHandshakes(now)
 	e.expireHeld(now)
+	e.releaseWaiting(now)
 	e.roster.ExpireTags(now)
 	e.startDueProbes(now)
 	e.sampleDomains(now)
@@ -292,9 +295,18 @@
 	return e.actions
 }
 
-// NextDeadline returns when Tick must run for the next SYN timeout; ok is false when none is pending.
+// NextDeadline returns when Tick must run for the next SYN timeout or the next SYN that waits to be admitted; ok is false when none is pending.
 func (e *Engine) NextDeadline() (at model.Instant, ok bool) {
-	return e.timers.Next()
+	at, ok = e.timers.Next()
+	if len(e.admission.waiting) == 0 {
+		return at, ok
+	}
+	for _, g := range e.admission.gates {
+		if next, waits := g.NextAt(); waits && (!ok || next < at) {
+			at, ok = next, true
+		}
+	}
+	return at, ok
 }
 
 // forward forwards a packet of an open flow.
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -74,20 +74,28 @@
 		f.releaseLoad()
 		f = nil
 	}
-	reason := model.ReasonNone
 	if f != nil {
-		reason = model.ReasonCallerRepeats
 		f.copies.add(seg)
-	} else {
-		e.retryBudget.Deposit()
-		copies := e.synCopies(seg)
-		if !e.flows.Put(now, seg.Flow, flow{copies: copies}) {
-			e.reject(now, seg, copies, model.ReasonFlowLimit)
-			return
-		}
-		f = e.flows.Peek(seg.Flow)
+		e.place(now, r, seg, f, e.drawTarget(r), model.ReasonCallerRepeats)
+		return
+	}
+	if service, admitted := e.admitSyn(now, r, seg); admitted {
+		e.placeNew(now, r, seg, e.synCopies(seg), service)
+	}
+}
+
+// placeNew sends the SYN of a new flow to an upstream, of the given service if possible.
+func (e *Engine) placeNew(now model.Instant, r *route, seg *model.Segment, copies synCopies, service model.ServiceID) {
+	e.retryBudget.Deposit()
+	if !e.flows.Put(now, seg.Flow, flow{copies: copies}) {
+		e.reject(now, seg, copies, model.ReasonFlowLimit)
+		return
 	}
-	up := e.choose(now, r, f)
+	e.place(now, r, seg, e.flows.Peek(seg.Flow), service, model.ReasonNone)
+}
+
+func (e *Engine) place(now model.Instant, r *route, seg *model.Segment, f *flow, service model.ServiceID, reason model.Reason) {
+	up := e.choose(now, r, service, f)
 	if up == nil {
 		e.rejectUnplaced(now, seg, f)
 		return
@@ -159,7 +167,7 @@
 		e.drop(&model.Segment{Flow: key}, f.up, model.ReasonRetryBudget)
 		return
 	}
-	up := e.choose(now, r, f)
+	up := e.choose(now, r, e.drawTarget(r), f)
 	if up == nil || f.wasTried(up) {
 		return
 	}
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -160,6 +160,7 @@
 		e.recordProgress(now, f)
 		if f.requestAt != 0 {
 			e.addSample(SampleAnswer, now.Sub(f.requestAt))
+			e.admission.observeAnswer(f.up.Service, now.Sub(f.requestAt))
 		}
 		f.finishRequest(now)
 	}
--- a/internal/core/direct/select.go
+++ b/internal/core/direct/select.go
@@ -6,15 +6,19 @@
 	"hawthorncourse/internal/core/roster"
 )
 
-// choose picks the upstream of a new flow: in a target service that is drawn by weight, or in another target of the route if that service has
-// none available. It returns nil when no upstream may take the flow.
-func (e *Engine) choose(now model.Instant, r *route, f *flow) *roster.Upstream {
-	target := place.PickWeighted(r.Targets, func(t model.Target) float64 { return t.Weight }, e.rng)
-	if up := e.chooseFromService(now, target.Service, f); up != nil {
+// drawTarget draws a target service of a route by weight.
+func (e *Engine) drawTarget(r *route) model.ServiceID {
+	return place.PickWeighted(r.Targets, func(t model.Target) float64 { return t.Weight }, e.rng).Service
+}
+
+// choose picks the upstream of a new flow: in the given target service, or in another target of the route if that service has none available. It returns
+// nil when no upstream may take the flow.
+func (e *Engine) choose(now model.Instant, r *route, service model.ServiceID, f *flow) *roster.Upstream {
+	if up := e.chooseFromService(now, service, f); up != nil {
 		return up
 	}
 	for _, other := range r.Targets {
-		if other.Service == target.Service {
+		if other.Service == service {
 			continue
 		}
 		if up := e.chooseFromService(now, other.Service, f); up != nil {
--- a/internal/core/model/reason.go
+++ b/internal/core/model/reason.go
@@ -111,6 +111,9 @@
 	ReasonTagChanged
 	// ReasonRouteUnknown means that the destination address of an open flow has no route at this instance, which may lack a newer configuration.
 	ReasonRouteUnknown
+	// ReasonOverloaded means that the upstreams of the service are full: the SYN waits for its turn, or is refused because it would not be served within
+	// the target latency.
+	ReasonOverloaded
 	reasonCount
 )
 
@@ -163,6 +166,7 @@
 	ReasonCopyQueued:          "copy_queued",
 	ReasonTagChanged:          "tag_changed",
 	ReasonRouteUnknown:        "route_unknown",
+	ReasonOverloaded:          "overloaded",
 }
 
 // String returns the name of the reason as used in metrics and logs.
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -59,7 +59,7 @@
 	ColdUntil model.Instant
 	// Load is the load that this instance puts on the upstream.
 	Load place.Load
-	// Gauge is the load that the run states, with what this instance has sent since.
+	// Gauge is the load that the run states, as far as it is known.
 	Gauge  gauge.Gauge
 	Health health.Tracker
 	// superseded is true once a later run uses the address, as far as start and revision tell, and replaced once there is a later run under the ID.
--- a/internal/load/admit/bucket.go
+++ b/internal/load/admit/bucket.go
@@ -24,6 +24,8 @@
 	rate float64
 	// share is the share of the rate that the reserve accrues, 0 to 1.
 	share float64
+	// extra is a rate of admissions from elsewhere of which the reserve accrues the share as well.
+	extra float64
 	// main is at most the depth of the bucket; it is negative while higher priorities have overdrawn it.
 	main float64
 	// reserve is 0 to the depth of the reserve.
@@ -41,14 +43,20 @@
 	if now <= b.at {
 		return
 	}
-	accrued := b.rate * now.Sub(b.at).Seconds()
+	elapsed := now.Sub(b.at).Seconds()
+	accrued := b.rate * elapsed
 	b.at = now
-	b.reserve += accrued * b.share
-	overflow := max(0, b.reserve-depth(b.rate*b.share))
+	b.reserve += b.reserveRate() * elapsed
+	overflow := max(0, b.reserve-depth(b.reserveRate()))
 	b.reserve -= overflow
 	b.main = min(b.main+accrued*(1-b.share)+overflow, depth(b.rate))
 }
 
+// reserveRate returns the rate at which the reserve accrues.
+func (b *bucket) reserveRate() float64 {
+	return (b.rate + b.extra) * b.share
+}
+
 // debt returns the number of tokens by which the main part is overdrawn.
 func (b *bucket) debt() float64 {
 	return max(0, -b.main)
@@ -63,10 +71,10 @@
 	// The main part accrues its own share, and the whole rate once the reserve is full.
 	fills := 0.0
 	if b.share > 0 {
-		fills = (depth(b.rate*b.share) - b.reserve) / (b.rate * b.share)
+		fills = (depth(b.reserveRate()) - b.reserve) / b.reserveRate()
 	}
 	if own := fills * b.rate * (1 - b.share); own < missing {
-		return seconds(fills + (missing-own)/b.rate)
+		return seconds(fills + (missing-own)/(b.rate+b.extra*b.share))
 	}
 	return seconds(missing / (b.rate * (1 - b.share)))
 }
@@ -77,7 +85,7 @@
 	if missing <= tokenSlack {
 		return 0
 	}
-	return seconds(missing / (b.rate * b.share))
+	return seconds(missing / b.reserveRate())
 }
 
 // forever is longer than any wait.
--- a/internal/load/admit/control.go
+++ b/internal/load/admit/control.go
@@ -126,6 +126,13 @@
 	return max(c.base*c.factor, c.floor)
 }
 
+// missingRate returns by how much, in flows per second, the rate has fallen below minFactor of what the slots of this gate's part took while requests did
+// not queue, less the reserve; the control loop itself varies the rate within that factor. It is lower in proportion while the load is above full.
+func (c *control) missingRate(reserve float64) float64 {
+	capacity := c.perSlot * float64(c.room.Slots) * (1 - reserve) * c.full / max(c.load, c.full)
+	return max(minFactor*capacity-c.rate(), 0)
+}
+
 // sample is what a gate observed between two updates.
 type sample struct {
 	// admitted and offered are in flows per second.
--- a/internal/load/admit/gate.go
+++ b/internal/load/admit/gate.go
@@ -35,7 +35,10 @@
 	config  Config
 	control control
 	bucket  bucket
-	line    line
+	// upper is spent on priorities above the lowest when bucket is empty. It accrues what the rate lacks of the capacity that the slots had while requests
+	// did not queue: if the rate has fallen far below it, requests on open flows fill the upstreams, and those are not limited.
+	upper bucket
+	line  line
 	// displaced holds requests that lost their place in the queue to others; Next refuses them. At most QueueLimit.
 	displaced []Request
 	callers   callers
@@ -95,8 +98,12 @@
 	switch {
 	case g.control.limited && !limited:
 		g.debt, g.bucket = 0, bucket{rate: g.control.rate(), share: g.config.Reserve, at: now}
+		g.upper = bucket{rate: g.control.missingRate(g.config.Reserve), at: now}
+		g.bucket.extra = g.upper.rate
 	case g.control.limited:
-		g.bucket.rate = g.control.rate()
+		g.upper.refill(now)
+		g.bucket.rate, g.upper.rate = g.control.rate(), g.control.missingRate(g.config.Reserve)
+		g.bucket.extra = g.upper.rate
 	default:
 		g.callers.clear()
 	}
@@ -197,8 +204,8 @@
 	}
 	rate, tokens := g.bucket.rate-higher, g.bucket.main
 	if class < lowest {
-		rate -= g.bucket.rate * g.bucket.share
-		tokens += g.overdraft(now, lowest)
+		rate += g.upper.rate - g.bucket.rate*g.bucket.share
+		tokens += g.overdraft(now, lowest) + g.upper.main
 	} else {
 		rate = max(rate, g.bucket.rate*g.bucket.share)
 	}
@@ -225,10 +232,18 @@
 
 // spendMain takes a token from the main part of the bucket, overdrawing it for a priority above the lowest.
 func (g *Gate) spendMain(now model.Instant, class, lowest int) bool {
-	if g.bucket.main < g.needed(now, class, lowest)-tokenSlack {
+	if g.bucket.main >= g.needed(now, class, lowest)-tokenSlack {
+		g.bucket.main--
+		return true
+	}
+	if class >= lowest {
+		return false
+	}
+	g.upper.refill(now)
+	if g.upper.main < 1-tokenSlack {
 		return false
 	}
-	g.bucket.main--
+	g.upper.main--
 	return true
 }
 
@@ -328,13 +343,23 @@
 	}
 	lowest := g.lowest(g.now)
 	at = min(g.line.expiries[0].deadline, g.control.at.Add(maxAge+1),
-		g.bucket.at.Add(g.bucket.mainIn(g.needed(g.now, g.line.order[0].class, lowest))))
+		g.headAt(lowest))
 	if g.line.start(lowest) < len(g.line.order) {
 		at = min(at, g.bucket.at.Add(g.bucket.reserveIn()))
 	}
 	return at, true
 }
 
+// headAt returns when there is a token for the first waiting request.
+func (g *Gate) headAt(lowest int) model.Instant {
+	class := g.line.order[0].class
+	at := g.bucket.at.Add(g.bucket.mainIn(g.needed(g.now, class, lowest)))
+	if class < lowest && g.upper.rate > 0 {
+		at = min(at, g.upper.at.Add(g.upper.mainIn(1)))
+	}
+	return at
+}
+
 // Cancel removes a waiting request whose caller gave up; Next does not return it. It reports whether the request waited.
 func (g *Gate) Cancel(key model.FlowKey) bool {
 	if e, waits := g.line.byKey[key]; waits {
--- a/internal/run/relay/loads.go
+++ b/internal/run/relay/loads.go
@@ -338,5 +338,6 @@
 			}
 			u.Gauge.Report(now, report)
 		}
+		r.act(ctx, now, r.engine.UpdateLoads(now))
 	})
 }
