Pass ended runs on to instances that start

After a failure domain has lost power with its instances and upstreams, callers send packets of flows of runs that have ended. The instances that start know the present registrations only. They held each packet for half a second and dropped it, for as long as a flow lives, so callers waited for their deadlines.

Instances pass on the runs that they have seen end, with their age and whether it is certain that a later run has replaced them, to instances that have run for less than the life of a flow. The list travels with the polls (NextArgs.WantEnded, HaveEnded; NextReply.Ended, EndedDigest). A reader that reads the store itself asks the readers of the other domains by a call (Share.Ended). An added run is gone: its flows are reset if it is replaced, or after three failed probes of this instance. Runs, packets and tags that an instance knows itself are left alone, and registrations listed here do not replace an added run.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -339,6 +339,9 @@
 		r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
 		old.ColdUntil = old.coldUntil(now, reg, era)
 		old.enterEra(era, r.firstListing(reg))
+		if old.adopted {
+			old.adopted, old.first = false, r.firstListing(reg)
+		}
 		old.displaced = false
 		u = old
 	}
--- a/internal/core/roster/upstream.go
+++ b/internal/core/roster/upstream.go
@@ -76,6 +76,8 @@
 	// outlived is a run with a later start at the address beside which the registration of this run has stood for ContestTime, so that it does not end
 	// this run; nil if there is none.
 	outlived *Upstream
+	// adopted is true while the run is known from another instance only, which has seen it end. It is then in StateGone, and first is not known.
+	adopted bool
 	// serviceIndex and allIndex are the positions in Roster.services and Roster.all while the run is current.
 	serviceIndex, allIndex int
 }
@@ -97,9 +99,9 @@
 
 // replacedBy reports whether reg, which is of the run by, is of a later run under the ID or at the address. The clocks of two machines may differ, so at
 // the address the registration must have been written later as well, and by must have been listed later. The clock of one machine may have been set back,
-// so under the ID as well, by must not have been listed before.
+// so under the ID as well, by must not have been listed before. None of this is known of an adopted run.
 func (u *Upstream) replacedBy(by *Upstream, reg *model.Registration) bool {
-	if u.Boot == 0 || reg.Boot <= u.Boot {
+	if u.adopted || u.Boot == 0 || reg.Boot <= u.Boot {
 		return false
 	}
 	if reg.ID == u.ID {
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -82,6 +82,7 @@
 	suspicionSeq uint64
 	// seenSeqs holds the sequence number of the last suspicion received from the peer that was last polled.
 	seenSeqs map[netip.AddrPort]uint64
+	ended    endedRuns
 }
 
 // New returns a Share without a snapshot. It does not answer peers before Run is called.
@@ -91,6 +92,7 @@
 		links:            links.New(links.Config{Name: "share", Local: cfg.Listener.Addr(), Counts: cfg.Counts, OnSent: cfg.OnSent}),
 		fullReplyLimiter: newFullReplyLimiter(cfg.LinkMbps), changed: make(chan struct{}),
 		suspicionLimiter: rate.NewLimiter(suspicionRate, suspicionRate), suspicionSeq: 1, seenSeqs: map[netip.AddrPort]uint64{},
+		ended: newEndedRuns(cfg.LinkMbps),
 	}
 }
 
@@ -98,6 +100,8 @@
 func (s *Share) SetLinkMbps(mbps float64) {
 	s.fullReplyLimiter.SetLimit(fullReplyRate(mbps))
 	s.fullReplyLimiter.SetBurst(int(fullReplyRate(mbps)))
+	s.ended.limiter.SetLimit(endedRate(mbps))
+	s.ended.limiter.SetBurst(int(endedRate(mbps)))
 }
 
 // Run answers peers until ctx is cancelled.
@@ -170,11 +174,17 @@
 
 // next makes the call of a poll. The age in the reply that it returns is that at the return, never less.
 func (s *Share) next(ctx context.Context, peer netip.AddrPort, args *NextArgs) (reply NextReply, err error) {
+	if args.Wait > 0 {
+		// A poll that does not wait is for a first snapshot, which a long list would delay.
+		args.WantEnded, args.HaveEnded = s.endedArgs(peer)
+	}
 	start, wait := time.Now(), time.Duration(args.Wait)
 	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
 		return reply, err
 	}
-	reply.Age += int64(transit(time.Since(start), wait, time.Duration(reply.Held)))
+	underWay := transit(time.Since(start), wait, time.Duration(reply.Held))
+	reply.Age += int64(underWay)
+	s.receiveEnded(peer, reply.Ended, reply.EndedDigest, underWay)
 	return reply, nil
 }
 
@@ -220,21 +230,16 @@
 }
 
 // Next is the RPC behind Poll. It replies after the next publication or suspicion, or when args.Wait is over. It replies immediately if the
-// wait is zero or the caller lacks suspicions.
+// wait is zero or the caller lacks suspicions or wants ended runs that it lacks.
 func (c *calls) Next(args NextArgs, reply *NextReply) error {
 	s, start := c.share, time.Now()
 	s.mu.Lock()
 	changed := s.changed
+	sendEnded, endedChanged := s.awaitedEnded(args.WantEnded, args.HaveEnded)
 	pending := args.Heard != 0 && args.Heard < s.suspicionSeq
 	s.mu.Unlock()
-	if args.Wait > 0 && !pending {
-		timer := time.NewTimer(min(time.Duration(args.Wait), maxWait))
-		defer timer.Stop()
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-c.ctx.Done():
-		}
+	if !pending && !sendEnded {
+		c.await(args.Wait, changed, endedChanged)
 	}
 	var ordinal model.Ordinal
 	if !args.Readers {
@@ -253,6 +258,9 @@
 		reply.Readers = readersToWire(snap.Readers)
 	}
 	reply.Doubts, reply.Spread = s.suspicionsAfter(args.Heard), s.suspicionSeq
+	if sendEnded || s.allowEnded(args.WantEnded, args.HaveEnded) {
+		reply.Ended, reply.EndedDigest = s.endedToWire()
+	}
 	if reply.Revision != 0 {
 		reply.Index, reply.Of = ordinal.Index, ordinal.Count
 		reply.Held = max(int64(now.Sub(start)), 1)
@@ -260,6 +268,21 @@
 	return nil
 }
 
+// await waits until one of two channels is closed, of which the second may be nil, or until a wait in nanoseconds is over.
+func (c *calls) await(wait int64, changed, endedChanged <-chan struct{}) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(wait), maxWait))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-endedChanged:
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
+
 // fillReply fills a reply with what the caller lacks, given the digest of its snapshot; s.mu must be held.
 func (s *Share) fillReply(snap *model.Snapshot, have uint64, reply *NextReply) {
 	missing, ok := s.deltaSince(have)
--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -24,6 +24,7 @@
 	// suspicions receives the suspicions that each instance gets.
 	suspicions map[model.InstanceID]chan model.Suspicion
 	readerAddr netip.AddrPort
+	pollerAddr netip.AddrPort
 	counts     *count.Set
 	// sent is the number of bytes that the reader has sent.
 	sent  atomic.Int64
@@ -44,7 +45,7 @@
 		return s, netip.MustParseAddrPort(l.Addr().String())
 	}
 	p.reader, p.readerAddr = start("reader", p.counts, func(n int) { p.sent.Add(int64(n)) })
-	p.poller, _ = start("asker", count.New(), nil)
+	p.poller, p.pollerAddr = start("asker", count.New(), nil)
 	return p
 }
 
--- a/internal/peer/share/wire.go
+++ b/internal/peer/share/wire.go
@@ -19,6 +19,10 @@
 	Heard uint64
 	// Readers is set if the caller is the reader of another failure domain: it gets the reader records and no ordinal.
 	Readers bool
+	// WantEnded is set while the caller has run for less than the life of a flow. HaveEnded is the digest of the last list of ended runs that it received
+	// from this peer; zero for none.
+	WantEnded bool
+	HaveEnded uint64
 }
 
 // scope says how much of the snapshot a reply holds.
@@ -67,6 +71,9 @@
 	OutAt uint64
 	// Readers holds the reader records of all failure domains, for callers that set NextArgs.Readers.
 	Readers []Reader
+	// Ended holds the ended runs that the peer knows, and EndedDigest is their digest; zero if the caller does not want them or has them.
+	Ended       []EndedRun
+	EndedDigest uint64
 }
 
 // Reader is a model.ReaderRecord on the wire.
@@ -220,23 +227,12 @@
 	}
 	snap.OutRevision = model.Revision(w.OutAt)
 	snap.Upstreams = model.Listing[model.Registration]{Unreadable: w.Unreadable, Revision: model.Revision(w.ListedAt), Era: model.Era(w.Era)}
-	for _, u := range w.Upstreams {
-		address, err := netip.ParseAddrPort(u.Address)
+	for i := range w.Upstreams {
+		reg, err := upstreamFromWire(&w.Upstreams[i])
 		if err != nil {
 			return snap, err
 		}
-		snap.Upstreams.Items = append(snap.Upstreams.Items, model.Registration{
-			ID:       model.UpstreamID(u.ID),
-			Revision: model.Revision(u.Revision),
-			Number:   model.EndpointNumber(u.Number),
-			Service:  model.ServiceID(u.Service),
-			Domain:   model.DomainID(u.Domain),
-			Address:  address,
-			Boot:     model.BootID(u.Boot),
-			Slots:    u.Slots,
-			ColdFor:  time.Duration(u.ColdFor),
-			Draining: u.Draining,
-		})
+		snap.Upstreams.Items = append(snap.Upstreams.Items, reg)
 	}
 	for _, d := range w.Out {
 		snap.Out = append(snap.Out, model.DomainID(d))
@@ -245,6 +241,25 @@
 	return snap, err
 }
 
+func upstreamFromWire(w *Upstream) (reg model.Registration, err error) {
+	address, err := netip.ParseAddrPort(w.Address)
+	if err != nil {
+		return reg, err
+	}
+	return model.Registration{
+		ID:       model.UpstreamID(w.ID),
+		Revision: model.Revision(w.Revision),
+		Number:   model.EndpointNumber(w.Number),
+		Service:  model.ServiceID(w.Service),
+		Domain:   model.DomainID(w.Domain),
+		Address:  address,
+		Boot:     model.BootID(w.Boot),
+		Slots:    w.Slots,
+		ColdFor:  time.Duration(w.ColdFor),
+		Draining: w.Draining,
+	}, nil
+}
+
 func routesFromWire(w *Routes) (t model.RouteTable, err error) {
 	t = model.RouteTable{Version: model.Version(w.Version), Revision: model.Revision(w.Revision), Era: model.Era(w.Era), FlowIdle: time.Duration(w.FlowIdle)}
 	for _, r := range w.Routes {
--- a/internal/proof/direct/away_test.go
+++ b/internal/proof/direct/away_test.go
@@ -210,9 +210,9 @@
 	}
 }
 
-// checkThrough sends the next request of each flow that was opened through an instance, which has started again since, through this instance. If the
-// instance has not heard of the flow's upstream, the flow may be silent; it must not be reset.
-func (a *away) checkThrough(p *stage.Process, known bool) {
+// checkThrough sends the next request of each flow that was opened through an instance, which has started again since, through this instance. It
+// has not seen the registration of the flow's upstream, but other instances have told it of the run.
+func (a *away) checkThrough(p *stage.Process) {
 	a.t.Helper()
 	var requests sync.WaitGroup
 	for _, f := range a.flows {
@@ -221,8 +221,7 @@
 		}
 		f.SetVia(p.Settings.Packets)
 		requests.Go(func() {
-			var reset *stand.ResetError
-			if err := a.request(f.Flow); errors.As(err, &reset) || (err != nil && known) {
+			if err := a.request(f.Flow); err != nil {
 				a.t.Errorf("a flow at the serving upstream %s failed at %s, which started later: %v", f.up.Name(), p.Settings.Name, err)
 			}
 		})
@@ -269,7 +268,7 @@
 				time.Sleep(time.Until(lostAt.Add(awayTime)))
 			}
 			a.checkFlows()
-			a.checkThrough(killed, tc.returns)
+			a.checkThrough(killed)
 			a.load.ResetCounts()
 			time.Sleep(steadyTime)
 			a.checkServed()
--- a/internal/run/relay/apply.go
+++ b/internal/run/relay/apply.go
@@ -58,6 +58,7 @@
 			r.installSnapshot(now, &snap)
 		}
 		r.engine.Roster().Confirm(now, arrived.Add(-snap.Age))
+		r.publishEnded(now)
 		if first {
 			r.discardStateChanges()
 			r.logger("platform").With("upstreams", len(snap.Upstreams.Items)).With("era", snap.Era).With("revision", snap.Revision).With("ageMs", snap.Age.Milliseconds()).
--- a/internal/run/relay/follow.go
+++ b/internal/run/relay/follow.go
@@ -35,6 +35,7 @@
 	f := &follower{Relay: r}
 	for ctx.Err() == nil {
 		f.applyLimits(ctx)
+		r.share.SetWantEnded(r.wantsEnded())
 		reader := s.ReaderRecord()
 		r.reader.Store(&reader)
 		step, wait := s.Next(r.now())
@@ -69,6 +70,8 @@
 	*Relay
 	// storeDown is set while the store does not answer this instance.
 	storeDown bool
+	// nextEndedRequest is the earliest time of the next requests for ended runs.
+	nextEndedRequest model.Instant
 }
 
 // waitForStep waits until the next step is due. A refresh request ends the wait early, but not before minRefreshInterval.
@@ -123,6 +126,7 @@
 	f.applySnapshot(ctx, next, fromStore)
 	f.scheduler.FinishStoreRead(now, start, f.ownRecord(records, next.Era), true)
 	f.confirmRole(ctx, now, start, records)
+	f.requestEnded(ctx, records)
 }
 
 // confirmRole records that the store confirmed the reader records at the instant at, and assigns this instance an ordinal if it is a reader.
@@ -141,6 +145,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	defer f.addEnded(ctx)
 	now := f.now()
 	ok := err == nil && len(snap.Readers) > 0
 	if ok {
@@ -207,6 +212,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	defer f.addEnded(ctx)
 	ok := err == nil && f.applyPolled(ctx, snap, fromReader)
 	if err != nil {
 		f.counts.Counter("platform.reader_failed").Inc(1)
@@ -276,6 +282,7 @@
 				continue
 			}
 			r.applySnapshot(ctx, snap, fromSeed)
+			r.requestEndedFrom(ctx, seed, 0)
 		}
 		sleep(ctx, seedRetryInterval)
 	}
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -142,6 +142,8 @@
 
 	// engineReady is set once the engine has enough state to handle packets; only the decision loop uses it.
 	engineReady bool
+	// endedDigest is that of the ended runs that were last published; only the decision loop uses it.
+	endedDigest uint64
 	// stopping is set once the graceful shutdown has started.
 	stopping atomic.Bool
 	// serving is set while the instance is ready for traffic.
