Runs listed here are not ended by what a peer says

A registration that was listed after its run had been passed on by a peer was contested while the run still counted as replaced, so the instance reset flows of a run that served; an instance that was not told held them. An adopted run also kept its tag from a run that was listed later, an adopted run that was not replaced let a late heartbeat of it pass as a new registration, and a verdict could be applied to another ID with the same tag.

An adopted run of which any registration has been listed here, applied or not and before or after, never counts as replaced. Roster.run does not return adopted runs, so registrations are handled as if none had been passed on. Listed runs take the tags of adopted ones. The listing of a run is remembered for LostTagRetention, also when it has not been applied.

--- a/internal/core/roster/contest.go
+++ b/internal/core/roster/contest.go
@@ -81,10 +81,10 @@
 }
 
 // endedInstead returns an ended run under the ID of a registration, listed in the same era, that started later or is of another service; nil if there
-// is none.
+// is none that was listed here.
 func (r *Roster) endedInstead(reg *model.Registration, era model.Era) *Upstream {
 	for _, e := range r.ended {
-		if e.ID == reg.ID && (e.Boot > reg.Boot || e.Service != reg.Service) && e.listedIn(era) && !r.corrects(reg, e) {
+		if !e.adopted && e.ID == reg.ID && (e.Boot > reg.Boot || e.Service != reg.Service) && e.listedIn(era) && !r.corrects(reg, e) {
 			return e
 		}
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -64,7 +64,10 @@
 	// unused holds until when other instances may use a run with the tag that this one does not: its registration was listed without being applied, or
 	// was lost.
 	unused map[model.RoutingTag]model.Instant
-	// sweepAt is when the next outdated tags are removed from unused.
+	// seen holds the runs of which a registration was listed, until long after, so that it is not taken from another instance that one of them has been
+	// replaced. Current runs need not be in it.
+	seen map[model.RoutingTag]seenRun
+	// sweepAt is when the next outdated tags are removed from unused and seen.
 	sweepAt model.Instant
 	// lists is the number of complete listings.
 	lists uint64
@@ -96,6 +99,7 @@
 		newlyNamed:  map[model.ServiceID]bool{},
 		contests:    map[model.UpstreamID]*contest{},
 		unused:      map[model.RoutingTag]model.Instant{},
+		seen:        map[model.RoutingTag]seenRun{},
 		graceUntil:  model.Instant(OutageGrace),
 	}
 }
@@ -316,10 +320,11 @@
 	r.supersede(now, u)
 }
 
-// run returns the known run that a registration names, or nil. It may be in StateGone.
+// run returns the known run that a registration names, or nil. It may be in StateGone. It is nil for an adopted run, so that registrations are handled as
+// if no other instance had passed it on.
 func (r *Roster) run(reg *model.Registration) *Upstream {
 	u := r.tags[tagKey{service: reg.Service, tag: routingTag(reg)}]
-	if u == nil || reg.Boot == 0 || u.ID != reg.ID || u.Boot != reg.Boot {
+	if u == nil || u.adopted || reg.Boot == 0 || u.ID != reg.ID || u.Boot != reg.Boot {
 		return nil
 	}
 	return u
@@ -339,11 +344,14 @@
 		r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == old })
 		old.ColdUntil = old.coldUntil(now, reg, era)
 		old.enterEra(era, r.firstListing(reg))
-		if old.adopted {
-			old.adopted, old.first = false, r.firstListing(reg)
-		}
 		old.displaced = false
 		u = old
+	} else if added := r.adoptedRun(reg); added != nil {
+		// Its load and its health are of packets and probes of this instance.
+		r.ended = slices.DeleteFunc(r.ended, func(e *Upstream) bool { return e == added })
+		u.Load, u.Health = added.Load, added.Health
+		*added = *u
+		u = added
 	}
 	r.replaceEnded(u, reg)
 	r.current[reg.ID] = u
@@ -404,6 +412,7 @@
 	r.all[u.allIndex], last.allIndex = last, u.allIndex
 	r.all = r.all[:len(r.all)-1]
 	r.ended = append(r.ended, u)
+	r.recordSeen(now, &u.Registration)
 }
 
 func (r *Roster) setState(now model.Instant, u *Upstream, s State) {
--- a/internal/core/roster/tag.go
+++ b/internal/core/roster/tag.go
@@ -51,6 +51,7 @@
 		}
 	}
 	if now >= r.sweepAt {
+		maps.DeleteFunc(r.seen, func(_ model.RoutingTag, s seenRun) bool { return now >= s.until })
 		maps.DeleteFunc(r.unused, func(_ model.RoutingTag, until model.Instant) bool { return now >= until })
 		r.sweepAt = now.Add(sweepInterval)
 	}
@@ -80,13 +81,16 @@
 	if u := r.current[reg.ID]; u == nil || !u.isRun(reg) {
 		tag := routingTag(reg)
 		r.unused[tag] = max(r.unused[tag], now.Add(r.cfg.TagRetention))
+		r.recordSeen(now, reg)
+		r.correctAdopted(reg)
 	}
 }
 
-// claimTag lets packets with the tag of a run go to it, unless the flows of another run with the tag may be open.
+// claimTag lets packets with the tag of a run go to it, unless the flows of another run with the tag may be open that has been listed
+// here: an adopted run yields the tag.
 func (r *Roster) claimTag(now model.Instant, u *Upstream) {
 	holder := r.tags[u.key()]
-	u.untagged = holder != nil && !holder.isSameStart(u) && !holder.Ended(now)
+	u.untagged = holder != nil && !holder.adopted && !holder.isSameStart(u) && !holder.Ended(now)
 	if !u.untagged {
 		r.tags[u.key()] = u
 	}
