Ask peers of an earlier build for ended runs once

A peer of an earlier build answers a request for ended runs with an error, and the pool closes the connection after each error. That connection may carry a long poll, which then fails: the readers that polled the lead reader asked it as well, once a second for as long as a flow lives.

Peers that do not know the method are remembered while ended runs are wanted, and are not asked again. The lead reader is not asked while this instance polls it, as the polls bring its list. Scheduler.PollsLead is exported for that.

--- a/internal/core/fresh/scheduler.go
+++ b/internal/core/fresh/scheduler.go
@@ -123,7 +123,7 @@
 	switch {
 	case s.verifyAt != 0 && now >= s.verifyAt:
 		return StepVerifyEra, 0
-	case s.pollsLead(now):
+	case s.PollsLead(now):
 		return StepPollLead, 0
 	case !s.recordRead || s.storeNext || s.record.Holder == s.self:
 		return StepReadStore, wait
@@ -136,8 +136,8 @@
 	}
 }
 
-// pollsLead reports whether this instance is a reader that gets its data from the lead reader.
-func (s *Scheduler) pollsLead(now model.Instant) bool {
+// PollsLead reports whether this instance is a reader that gets its data from the lead reader.
+func (s *Scheduler) PollsLead(now model.Instant) bool {
 	return s.IsReader() && s.confirmedAt != 0 && s.lead.usable(now, s.self)
 }
 
--- a/internal/peer/share/ended.go
+++ b/internal/peer/share/ended.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"net/rpc"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +20,8 @@
 	// endedShare is the share of the instance's own link that lists of ended runs may take. They are sent to starting instances only, and full replies,
 	// without which those cannot serve, must not wait for them.
 	endedShare = 0.1
+	// unknownMethod is the start of the error of net/rpc for a method that the peer does not have.
+	unknownMethod = "rpc: can't find method"
 	// endedBytes is the encoded size of an ended run, for names as long as the platform's.
 	endedBytes = upstreamBytes + 10
 )
@@ -59,13 +63,18 @@
 	wanted bool
 	// have holds the digest of the last list received from each peer.
 	have map[netip.AddrPort]uint64
+	// unsupported holds the peers of an earlier build, which do not have the method of RequestEnded. Its error closes the connection, and fails the polls on it.
+	unsupported map[netip.AddrPort]bool
 	// received holds the runs received since TakeEnded, whose ages are those at receivedAt.
 	received   []model.EndedRun
 	receivedAt time.Time
 }
 
 func newEndedRuns(linkMbps float64) endedRuns {
-	return endedRuns{changed: make(chan struct{}), limiter: rate.NewLimiter(endedRate(linkMbps), int(endedRate(linkMbps))), have: map[netip.AddrPort]uint64{}}
+	return endedRuns{
+		changed: make(chan struct{}), limiter: rate.NewLimiter(endedRate(linkMbps), int(endedRate(linkMbps))),
+		have: map[netip.AddrPort]uint64{}, unsupported: map[netip.AddrPort]bool{},
+	}
 }
 
 // endedRate returns the bytes per second that lists of ended runs may take.
@@ -95,6 +104,7 @@
 	s.ended.wanted = want
 	if !want {
 		clear(s.ended.have)
+		clear(s.ended.unsupported)
 	}
 }
 
@@ -111,23 +121,47 @@
 }
 
 // RequestEnded asks a peer for the ended runs that it knows, without a snapshot, and waits up to wait for a list that this instance lacks. The lead reader
-// polls no other instance, so it asks this way.
+// polls no other instance, so it asks this way. A peer of an earlier build, which does not know such requests, gets a single one; later calls do nothing.
 func (s *Share) RequestEnded(ctx context.Context, peer netip.AddrPort, wait time.Duration) (err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrapf(err, "request ended runs of %s", peer)
 		}
 	}()
+	if s.endedUnsupported(peer) {
+		return nil
+	}
 	_, have := s.endedArgs(peer)
 	var reply EndedReply
 	start := time.Now()
 	if err = s.links.Call(ctx, peer, endedMethod, EndedArgs{Have: have, Wait: int64(wait)}, &reply, wait+CallMargin); err != nil {
+		s.recordUnsupported(peer, err)
 		return err
 	}
 	s.receiveEnded(peer, reply.Ended, reply.Digest, transit(time.Since(start), wait, time.Duration(reply.Held)))
 	return nil
 }
 
+// endedUnsupported reports whether the peer has replied that it does not know requests for ended runs.
+func (s *Share) endedUnsupported(peer netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended.unsupported[peer]
+}
+
+// recordUnsupported records that the peer does not know requests for ended runs, if err says so. While no ended runs are wanted, nothing is recorded.
+func (s *Share) recordUnsupported(peer netip.AddrPort, err error) {
+	var replied rpc.ServerError
+	if !eris.As(err, &replied) || !strings.HasPrefix(string(replied), unknownMethod) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended.wanted {
+		s.ended.unsupported[peer] = true
+	}
+}
+
 // Ended is the RPC behind RequestEnded. It replies at once if the caller lacks the published list, and else at the next publication or when args.Wait is over.
 func (c *calls) Ended(args EndedArgs, reply *EndedReply) error {
 	s, start := c.share, time.Now()
--- a/internal/peer/share/ended_test.go
+++ b/internal/peer/share/ended_test.go
@@ -218,6 +218,45 @@
 	p.NoErr(err)
 }
 
+// slowOldServer is an instance of such a build that holds polls for as long as they ask.
+type slowOldServer struct{}
+
+// Next has the signature of the RPC.
+func (slowOldServer) Next(args OldArgs, reply *OldReply) error {
+	time.Sleep(time.Duration(args.Wait))
+	*reply = OldReply{Revision: 4, Scope: 1}
+	return nil
+}
+
+// TestEarlierBuildIsAskedOnce guards against polls that fail because a request for ended runs to the same peer, of an earlier build, closes their connection.
+func TestEarlierBuildIsAskedOnce(t *testing.T) {
+	p := newPair(t)
+	srv := rpc.NewServer()
+	p.NoErr(srv.RegisterName("Share", slowOldServer{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p.NoErr(err)
+	defer l.Close()
+	go srv.Accept(l)
+	old := netip.MustParseAddrPort(l.Addr().String())
+	p.poller.SetWantEnded(true)
+	p.True(p.poller.RequestEnded(p.ctx, old, 0) != nil)
+	polled := make(chan error, 1)
+	go func() {
+		_, err := p.poller.Poll(p.ctx, old, newSnapshot(4, 1, 1), 4*shortWait)
+		polled <- err
+	}()
+	time.Sleep(shortWait)
+	p.NoErr(p.poller.RequestEnded(p.ctx, old, 0))
+	p.NoErr(<-polled)
+
+	// Another failure says nothing about the build: the peer is asked again.
+	p.NoErr(l.Close())
+	gone := netip.MustParseAddrPort("127.0.0.1:1")
+	for range 2 {
+		p.True(p.poller.RequestEnded(p.ctx, gone, 0) != nil)
+	}
+}
+
 // oddEndedServer replies to every poll and request with the same ended runs.
 type oddEndedServer struct {
 	list []share.EndedRun
--- a/internal/run/relay/ended.go
+++ b/internal/run/relay/ended.go
@@ -56,12 +56,23 @@
 	}
 	// Reads of the store, which start the requests, are up to pollJitter early.
 	f.nextEndedRequest = now.Add(endedRequestInterval - 2*pollJitter)
+	var polled model.InstanceID
+	if f.scheduler.PollsLead(now) {
+		polled = f.scheduler.Lead().Holder
+	}
+	for _, peer := range endedPeers(records, f.cfg.Domain, polled) {
+		go f.requestEndedFrom(ctx, peer, endedRequestInterval)
+	}
+}
+
+// endedPeers returns the readers of the failure domains other than own, except for the one that this instance polls, if any: polls bring its ended runs.
+func endedPeers(records []model.ReaderRecord, own model.DomainID, polled model.InstanceID) (peers []netip.AddrPort) {
 	for _, record := range records {
-		if record.Domain == f.cfg.Domain || record.Holder == "" {
-			continue
+		if record.Domain != own && record.Holder != "" && record.Holder != polled {
+			peers = append(peers, record.Control)
 		}
-		go f.requestEndedFrom(ctx, record.Control, endedRequestInterval)
 	}
+	return peers
 }
 
 // requestEndedFrom asks a peer for ended runs, waits up to wait for a list that this instance lacks, and passes it to the engine.
