Refuse a waiting SYN only while no copy of it may be open elsewhere

A review of the admission of new flows found ways to a wrong refusal and to undecided SYNs, by trials with the engine: a SYN waited for up to half of its target, so its caller's copy (after 200 ms) could reach an upstream through another instance, and the refusal, or a second upstream, met the open flow.

Change: a SYN waits for at most 180 ms; the flow's next packet ends its wait; a refusal looks at the last copy, so that it is dropped if an earlier one went elsewhere. Another target of a split route takes a flow only if its load is known, and is asked itself; the first gate forgets the flow. Gates are visited in the order of services, and updated at most every 200 ms. An upstream that ignores SYNs counts in the load, as it may be full. Without answers, the response time is unknown.

--- a/internal/core/direct/admission.go
+++ b/internal/core/direct/admission.go
@@ -17,6 +17,8 @@
 	admissionQueueLimit = 512
 	// minKnownSlots is the share of a service's slots whose load must be known for its upstreams to count as full.
 	minKnownSlots = 0.5
+	// minUpdateInterval is the least time between two updates of the gates: the reports of different failure domains arrive one by one, every 250 ms each.
+	minUpdateInterval = 200 * time.Millisecond
 )
 
 // admission limits the new flows of services whose upstreams are full. A service has a gate once a SYN arrives on a route to it that states a target
@@ -25,12 +27,15 @@
 	gates map[model.ServiceID]*admit.Gate
 	// answers averages the time from a request to its answer at the upstreams of each service with a gate.
 	answers map[model.ServiceID]*choose.LatencyAverage
+	// updatedAt is when the gates were last updated.
+	updatedAt model.Instant
 	// waiting holds the SYNs that wait at the gates, with the copies of each that came here.
 	waiting map[model.FlowKey]*waitingSyn
 }
 
 // waitingSyn is a SYN that waits at the gate of a service.
 type waitingSyn struct {
+	// seg is the last copy that came here.
 	seg     model.Segment
 	copies  synCopies
 	service model.ServiceID
@@ -45,26 +50,23 @@
 	g := a.gates[service]
 	if g == nil && r.Target > 0 {
 		g = admit.New(admit.Config{Reserve: admissionReserve, QueueLimit: admissionQueueLimit})
-		a.gates[service], a.answers[service] = g, &choose.LatencyAverage{}
+		a.gates[service] = g
 	}
 	return g
 }
 
 // admitSyn asks the gate of a new flow's service, and reports whether the flow may be placed now. Otherwise the SYN waits or is refused. If the drawn target
-// of a route is full, another target takes the flow: a caller is better served beyond the configured weights than refused while there is room.
+// of a route is full, another target with room takes the flow: a caller is better served beyond the configured weights than refused.
 func (e *Engine) admitSyn(now model.Instant, r *route, seg *model.Segment) (service model.ServiceID, admitted bool) {
 	if e.keepWaiting(seg) {
 		return "", false
 	}
 	service = e.drawTarget(r)
 	verdict := e.offer(now, r, seg, service)
-	for _, other := range r.Targets {
-		if verdict == admit.VerdictAdmit {
-			break
-		}
-		if g := e.admission.gates[other.Service]; other.Service != service && (g == nil || !g.State().Limited) {
-			e.cancelWaiting(seg.Flow)
-			return other.Service, true
+	if verdict != admit.VerdictAdmit {
+		if other := e.targetWithRoom(r, service); other != "" {
+			e.admission.gates[service].Cancel(seg.Flow)
+			service, verdict = other, e.offer(now, r, seg, other)
 		}
 	}
 	switch verdict {
@@ -77,11 +79,25 @@
 	return service, verdict == admit.VerdictAdmit
 }
 
+// targetWithRoom returns another target of a route that is known not to be full; empty if there is none.
+func (e *Engine) targetWithRoom(r *route, full model.ServiceID) model.ServiceID {
+	for _, t := range r.Targets {
+		if g := e.admission.gates[t.Service]; t.Service != full && g != nil && g.State().Known && !g.State().Limited {
+			return t.Service
+		}
+	}
+	return ""
+}
+
 // observeAnswer records the time from a request to its answer.
 func (a *admission) observeAnswer(service model.ServiceID, d time.Duration) {
-	if average := a.answers[service]; average != nil {
-		average.Observe(d)
+	if a.gates[service] == nil {
+		return
 	}
+	if a.answers[service] == nil {
+		a.answers[service] = &choose.LatencyAverage{}
+	}
+	a.answers[service].Observe(d)
 }
 
 // keepWaiting handles a copy of a SYN that waits. A SYN of another flow on the same port takes its place.
@@ -95,10 +111,13 @@
 		return false
 	}
 	w.copies.add(seg)
+	// Whether a refusal is true depends on the last copy: an earlier one that did not come here may be answered.
+	w.seg = *seg
 	e.drop(seg, nil, model.ReasonRepeat)
 	return true
 }
 
+// cancelWaiting forgets a waiting SYN whose flow is open elsewhere or has ended.
 func (e *Engine) cancelWaiting(key model.FlowKey) {
 	if w := e.admission.waiting[key]; w != nil {
 		e.admission.gates[w.service].Cancel(key)
@@ -125,7 +144,7 @@
 			if !ok {
 				break
 			}
-			e.finishWaiting(now, req.Key, verdict)
+			e.finishWaiting(now, req.Key, service, verdict)
 		}
 	}
 }
@@ -135,9 +154,10 @@
 	return slices.Sorted(maps.Keys(a.gates))
 }
 
-func (e *Engine) finishWaiting(now model.Instant, key model.FlowKey, verdict admit.Verdict) {
+// finishWaiting carries out the verdict of a service's gate on a waiting SYN.
+func (e *Engine) finishWaiting(now model.Instant, key model.FlowKey, service model.ServiceID, verdict admit.Verdict) {
 	w := e.admission.waiting[key]
-	if w == nil {
+	if w == nil || w.service != service {
 		return
 	}
 	delete(e.admission.waiting, key)
@@ -146,16 +166,22 @@
 	case r == nil:
 		e.reject(now, &w.seg, w.copies, model.ReasonNoRoute)
 	case verdict == admit.VerdictAdmit:
-		e.placeNew(now, r, &w.seg, w.copies, w.service)
+		if !r.targets(service) {
+			service = e.drawTarget(r)
+		}
+		e.placeNew(now, r, &w.seg, w.copies, service)
 	default:
 		e.reject(now, &w.seg, w.copies, model.ReasonOverloaded)
 	}
 }
 
-// UpdateLoads passes the load of the usable upstreams of each service to its gate, once for each new set of reports. The actions are valid until the next
-// call.
+// UpdateLoads passes the load of the usable upstreams of each service to its gate, after new reports. The actions are valid until the next call.
 func (e *Engine) UpdateLoads(now model.Instant) []Action {
 	e.actions = e.actions[:0]
+	if now.Sub(e.admission.updatedAt) < minUpdateInterval {
+		return e.actions
+	}
+	e.admission.updatedAt = now
 	for _, service := range e.admission.services() {
 		e.admission.gates[service].Update(now, e.room(now, service))
 	}
@@ -164,11 +190,14 @@
 }
 
 // room returns the load of the upstreams of a service that take new flows, or would if they were not full. A failure domain that seems partitioned counts: its
-// upstreams take flows of other instances, and their loads are known only while its reader is in touch.
+// upstreams take flows of other instances, and their loads are known only while its reader is in touch. So does an upstream that ignores SYNs: it may be full.
 func (e *Engine) room(now model.Instant, service model.ServiceID) (room admit.Room) {
+	if answers := e.admission.answers[service]; answers != nil {
+		room.Answer = answers.Mean()
+	}
 	slots := 0
 	for _, u := range e.roster.ByService(service) {
-		if !e.roster.Usable(u) || u.Cold(now) || u.Health.Silent() {
+		if !e.roster.Usable(u) || u.Cold(now) || u.Health.FailedProbes() > 0 {
 			continue
 		}
 		slots += u.Slots
@@ -177,7 +206,6 @@
 			room.Work += float64(work)
 		}
 	}
-	room.Answer = e.admission.answers[service].Mean()
 	room.Known = room.Slots > 0 && float64(room.Slots) >= minKnownSlots*float64(slots)
 	return room
 }
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"hawthorncourse/internal/core/choose"
@@ -175,6 +176,11 @@
 	services []model.ServiceID
 }
 
+// targets reports whether new flows of the route go to a service.
+func (r *route) targets(service model.ServiceID) bool {
+	return slices.ContainsFunc(r.Targets, func(t model.Target) bool { return t.Service == service })
+}
+
 // New returns an engine without routes and upstreams.
 func New(cfg Config) *Engine {
 	policy := cfg.Policy
--- a/internal/core/direct/packet.go
+++ b/internal/core/direct/packet.go
@@ -32,6 +32,8 @@
 
 // forwardOpen handles a packet of a flow that its caller considers open.
 func (e *Engine) forwardOpen(now model.Instant, seg *model.Segment) {
+	// A copy of the SYN may have been placed by another instance.
+	e.cancelWaiting(seg.Flow)
 	r := e.routes[seg.Flow.Service]
 	if r == nil {
 		e.handleUnrouted(now, seg)
--- a/internal/load/admit/control.go
+++ b/internal/load/admit/control.go
@@ -17,9 +17,10 @@
 	floorShare = 0.1
 	// minRate is the lowest rate, in flows per second, of a gate that admitted nothing before its limit began.
 	minRate = 0.5
-	// drainWindow is the time, in nanoseconds, in which the rate aims to remove the difference to the full load: two updates of 250 ms, as the effect
-	// of one update is in the report after the next one. In simulation, 750 ms leaves a load above 3 in the third second of a burst.
-	drainWindow = 500 * time.Millisecond
+	// drainWindow is the time, in nanoseconds, in which the rate aims to remove the difference to the full load: a little over two updates of 250 ms, as the
+	// effect of one update is in the report after the next one. In simulation, 500 ms overshoots if response times contain long round trips, and 620 ms
+	// leaves a load above 3 in the third second of a burst.
+	drainWindow = 560 * time.Millisecond
 	// drainUpdates is the same limit in updates, for reports that come more rarely than every 250 ms.
 	drainUpdates = 2
 	// reportAge is the assumed age, in nanoseconds, of a report when it arrives; the present factor has acted since. Reports of upstreams are collected
--- a/internal/load/admit/meter.go
+++ b/internal/load/admit/meter.go
@@ -20,7 +20,7 @@
 // add records one event.
 func (m *meter) add(now model.Instant) {
 	m.perSecond = m.rate(now) + 1/meterWindow.Seconds()
-	m.at = now
+	m.at = max(m.at, now)
 }
 
 // rate returns the events per second.
--- a/internal/load/admit/request.go
+++ b/internal/load/admit/request.go
@@ -7,9 +7,9 @@
 	"hawthorncourse/internal/core/model"
 )
 
-// defaultPatience is the longest wait, in nanoseconds, of a request without a target. A caller retransmits its SYN after 200 ms; refused before
-// that, it retries on a new flow instead.
-const defaultPatience = 200 * time.Millisecond
+// maxPatience is the longest wait, in nanoseconds, of a request. A caller sends a copy of its SYN after 200 ms, which may reach an upstream through another
+// instance; a refusal after that would not be true.
+const maxPatience = 180 * time.Millisecond
 
 // patienceShare is the divisor of the target that gives the longest wait. The other half remains for the queue of the upstream and the response.
 const patienceShare = 2
@@ -34,9 +34,9 @@
 // deadline returns the instant up to which the request may wait.
 func (r *Request) deadline() model.Instant {
 	if r.Target <= 0 {
-		return r.Arrived.Add(defaultPatience)
+		return r.Arrived.Add(maxPatience)
 	}
-	return r.Arrived.Add(r.Target / patienceShare)
+	return r.Arrived.Add(min(r.Target/patienceShare, maxPatience))
 }
 
 // class returns the priority, bounded to 0 to priorities-1.
