Ask silent upstreams for their load less often

Upstreams that do not answer hold one of the 16 places for health requests for up to 700 ms each, four times a second while their service is urgent. They are now asked again after 1 s, then every 2 s, until they answer, whatever the interval of their service.

The digest for which there was nothing to ask is now kept.

An answer with status 200 and without X-Instance-Id counts as malformed: the load may be that of another upstream. A rejection, which never has the header, stays valid. The server of TestAskLimit did not send the header and does now; its limits are unchanged.

--- a/internal/run/relay/health.go
+++ b/internal/run/relay/health.go
@@ -90,7 +90,12 @@
 	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody)); err != nil {
 		return answer, err
 	}
-	return c.parse(resp.StatusCode, resp.Header), nil
+	answer = c.parse(resp.StatusCode, resp.Header)
+	if resp.StatusCode == http.StatusOK && answer.Upstream == "" {
+		// Only a rejection omits the ID: without it, the load may be that of another upstream.
+		return model.HealthAnswer{}, nil
+	}
+	return answer, nil
 }
 
 // close closes the idle connections.
@@ -109,7 +114,7 @@
 	askConnect askOutcome = "connect"
 	// askTimeout means that there was no answer in time.
 	askTimeout askOutcome = "timeout"
-	// askMalformed means that the answer is no HTTP, or states no valid load.
+	// askMalformed means that the answer is no HTTP, or states no valid load, or has status 200 and does not state the upstream.
 	askMalformed askOutcome = "malformed"
 	// askOtherInstance means that another upstream has answered at the address.
 	askOtherInstance askOutcome = "other_instance"
--- a/internal/run/relay/loads.go
+++ b/internal/run/relay/loads.go
@@ -24,6 +24,9 @@
 	maxAsksPerSecond = 150
 	// maxAsking bounds the health requests that are under way: upstreams that do not answer must not take all descriptors and memory.
 	maxAsking = 16
+	// maxSilentInterval is the longest time between two requests to an upstream that does not answer: a request to one takes one of maxAsking places for
+	// up to 700 ms. It is below gauge.MaxAge, so that the load of one that answers again is known within that time.
+	maxSilentInterval = 2 * time.Second
 	// idleInterval is how often an instance that collects no loads checks whether it should.
 	idleInterval = 500 * time.Millisecond
 )
@@ -62,7 +65,7 @@
 	// asks is the context of the health requests, and cancel ends them; nil while no loads are collected.
 	asks   context.Context
 	cancel context.CancelFunc
-	// digest is that of the snapshot that targets is from.
+	// digest is that of the snapshot that targets is from, also if it lists none; zero if targets is from no snapshot.
 	digest  uint64
 	targets map[model.UpstreamID]*loadTarget
 	// due holds the targets that are not being asked, by the time at which they are to be.
@@ -85,6 +88,8 @@
 	// askedAt is when the target was last asked, zero if it was not; dueAt is when it is to be asked next, and asking is set while it is being asked.
 	askedAt, dueAt model.Instant
 	asking         bool
+	// silentInterval is the least time to the next request, from askInterval to maxSilentInterval, if the last one was not answered; otherwise zero.
+	silentInterval time.Duration
 	// last is the last load stated; known is false if there is none.
 	last  statedLoad
 	known bool
@@ -120,6 +125,7 @@
 	}
 	if len(c.targets) == 0 {
 		c.stop("no upstream is to be asked")
+		c.digest = digest
 		return
 	}
 	if c.asks == nil {
@@ -187,13 +193,14 @@
 	c.requeue()
 }
 
-// spread makes targets due one after the other within an interval, but none of them sooner after the last request than urgentAskInterval.
+// spread makes targets due one after the other within an interval, but none of them sooner after the last request than urgentAskInterval, or
+// silentInterval if that is longer.
 func spread(now model.Instant, targets []*loadTarget, interval time.Duration) {
 	slices.SortFunc(targets, func(a, b *loadTarget) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	for i, t := range targets {
 		t.dueAt = now.Add(interval * time.Duration(i) / time.Duration(len(targets)))
 		if t.askedAt != 0 {
-			t.dueAt = max(t.dueAt, t.askedAt.Add(urgentAskInterval))
+			t.dueAt = max(t.dueAt, t.askedAt.Add(max(urgentAskInterval, t.silentInterval)))
 		}
 	}
 }
@@ -288,7 +295,12 @@
 	if c.targets[t.reg.ID] != t {
 		return
 	}
-	t.dueAt = max(a.sentAt.Add(c.interval(t.reg.Service)), c.now())
+	if outcome == askTimeout || outcome == askConnect {
+		t.silentInterval = min(max(2*t.silentInterval, askInterval), maxSilentInterval)
+	} else {
+		t.silentInterval = 0
+	}
+	t.dueAt = max(a.sentAt.Add(max(c.interval(t.reg.Service), t.silentInterval)), c.now())
 	c.due.Push(t.dueAt, t)
 	if a.err != nil {
 		return
--- a/internal/run/relay/loads_test.go
+++ b/internal/run/relay/loads_test.go
@@ -354,6 +354,7 @@
 		_, _ = fmt.Sscanf(req.URL.Path, "/healthz-%d", &n)
 		asked[n].Add(1)
 		w.Header().Set(platform.HeaderLoad, "2,14,2")
+		w.Header().Set(platform.HeaderInstance, fmt.Sprint("i-", n))
 	})}
 	go func() { _ = srv.Serve(l) }()
 	snap := loadSnapshot()
