Bound the memory and the traffic of the loads of upstreams

The loads at an instance that is not polled were never evicted, so that each run that was ever listed stayed in memory.

They are now attached at most every 200 ms for each caller, or in the time in which 5,000 bytes a second allow one reply if that is longer; at most 4,096 callers are kept, each for a minute. The same interval holds for the loads in the arguments of a reader's poll and for the wait of its poll while loads are urgent, which was 250 ms for any number of upstreams.

--- a/internal/peer/share/loads.go
+++ b/internal/peer/share/loads.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthorncourse/internal/core/model"
 	"hawthorncourse/internal/load/gauge"
 )
@@ -31,18 +33,25 @@
 	loadBytes, loadBytesPerSecond = 3, 5000
 	// maxLoadUpstreams is the number of upstreams above which no loads are sent, as one reply a second would exceed loadBytesPerSecond.
 	maxLoadUpstreams = loadBytesPerSecond / loadBytes
+	// evictInterval is the least time between two evictions of loads: they go through all entries.
+	evictInterval = time.Second
+	// callerTTL is how long a caller is kept after loads were last attached to a reply to it, and maxCallers how many are: more than the 3,100 instances
+	// that the design is for.
+	callerTTL, maxCallers = time.Minute, 4096
 	// maxOrders is the number of snapshots whose upstreams are kept in order. The readers of other failure domains are one or two snapshots behind.
 	maxOrders = 8
 )
 
 // loadTable holds the known loads of upstreams. It is guarded by Share.mu.
 type loadTable struct {
-	// entries holds the latest load of each upstream.
+	// entries holds the latest load of each upstream. Until the next eviction, it also holds loads that are too old and those of runs that are not listed.
 	entries map[model.UpstreamID]loadEntry
+	// evictedAt is the time of the last eviction.
+	evictedAt time.Time
 	// changes counts the changes of entries.
 	changes uint64
 	// orders holds the upstreams of the last snapshots, the latest last; at most maxOrders.
-	orders []loadOrder
+	orders []*loadOrder
 	// packed caches the encoded entries.
 	packed packedLoads
 	// urgentUntil is until when loads are urgent, and wokenAt is when loads last answered waiting polls.
@@ -51,6 +60,10 @@
 	start time.Time
 	// stamps holds the stamp of the reply of the lead reader that was last polled.
 	stamps map[netip.AddrPort]loadStamp
+	// sentAt is when loads were last added to the arguments of a poll.
+	sentAt time.Time
+	// callers holds when loads were last attached to a reply to a caller, by the hash of its name; at most maxCallers.
+	callers map[uint64]time.Time
 }
 
 // loadEntry is the load of one run of an upstream.
@@ -65,7 +78,9 @@
 // loadOrder lists the upstreams of one snapshot in the order in which their loads are packed.
 type loadOrder struct {
 	digest uint64
-	runs   []loadRun
+	// at is the state of the store that the snapshot shows.
+	at   model.Position
+	runs []loadRun
 }
 
 // loadRun is a run of an upstream.
@@ -89,7 +104,7 @@
 }
 
 func newLoadTable() loadTable {
-	return loadTable{entries: map[model.UpstreamID]loadEntry{}, start: time.Now(), stamps: map[netip.AddrPort]loadStamp{}}
+	return loadTable{entries: map[model.UpstreamID]loadEntry{}, start: time.Now(), stamps: map[netip.AddrPort]loadStamp{}, callers: map[uint64]time.Time{}}
 }
 
 // PublishLoads makes loads known to the instances that poll this one. Urgent loads answer the polls that wait; others are sent with the next reply.
@@ -103,9 +118,12 @@
 		s.dropLoads()
 		return
 	}
+	s.evictLoads(now)
+	current := s.currentOrder(order)
 	for _, l := range loads.Loads {
 		at := now.Add(-l.Age)
-		if old, ok := s.loads.entries[l.ID]; order.has(l.ID, l.Boot) && (!ok || old.boot != l.Boot || at.After(old.at)) {
+		old, ok := s.loads.entries[l.ID]
+		if current.has(l.ID, l.Boot) && order.has(l.ID, l.Boot) && (!ok || old.boot < l.Boot || (old.boot == l.Boot && at.After(old.at))) {
 			s.loads.set(l.ID, loadEntry{boot: l.Boot, work: l.Work, known: l.Known, at: at})
 		}
 	}
@@ -114,12 +132,16 @@
 	}
 }
 
-// markLoadsUrgent answers the polls that wait, unless loads have done so within wakeInterval, or within the time in which loadBytesPerSecond allow one
-// reply; s.mu must be held.
+// loadInterval returns the least time between two transmissions of the loads to or from an instance: wakeInterval, or the time in which
+// loadBytesPerSecond allow one if that is longer. s.mu must be held.
+func (s *Share) loadInterval() time.Duration {
+	return max(wakeInterval, time.Duration(len(s.latest.Upstreams.Items))*loadBytes*time.Second/loadBytesPerSecond)
+}
+
+// markLoadsUrgent answers the polls that wait, unless loads have done so within loadInterval; s.mu must be held.
 func (s *Share) markLoadsUrgent(now time.Time) {
 	s.loads.urgentUntil = now.Add(urgentHold)
-	replyTime := time.Duration(len(s.latest.Upstreams.Items)) * loadBytes * time.Second / loadBytesPerSecond
-	if now.Sub(s.loads.wokenAt) >= max(wakeInterval, replyTime) {
+	if now.Sub(s.loads.wokenAt) >= s.loadInterval() {
 		s.loads.wokenAt = now
 		s.notifyWaiters()
 	}
@@ -130,16 +152,21 @@
 	s.cfg.Counts.Counter("share.loads_dropped").Inc(1)
 }
 
-// addLoads adds the known loads to the arguments of a poll of the lead reader. While loads are urgent, the poll does not wait for long.
+// addLoads adds the known loads to the arguments of a poll of the lead reader, at most once in loadInterval. While loads are urgent, the poll does not wait
+// for long.
 func (s *Share) addLoads(args *NextArgs, peer netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	if args.LoadUrgent = now.Before(s.loads.urgentUntil); args.LoadUrgent {
-		args.Wait = min(args.Wait, int64(urgentWait))
+		args.Wait = min(args.Wait, int64(max(urgentWait, s.loadInterval())))
 	}
 	last, dated := s.loads.stamps[peer]
-	if packed := s.packLoads(now); dated && len(packed.loads) > 0 {
+	if !dated || now.Sub(s.loads.sentAt) < s.loadInterval() {
+		return
+	}
+	if packed := s.packLoads(now); len(packed.loads) > 0 {
+		s.loads.sentAt = now
 		args.Loads, args.LoadsOf, args.LoadAge, args.LoadAges = packed.loads, s.digest, int64(now.Sub(packed.youngest)), packed.ages
 		args.LoadStamp, args.LoadSince = last.stamp, int64(now.Sub(last.arrived))
 	}
@@ -155,14 +182,28 @@
 	}
 }
 
-// fillLoads adds the known loads to a reply, and a stamp to that to the reader of another failure domain; s.mu must be held.
-func (s *Share) fillLoads(now time.Time, stamped bool, reply *NextReply) {
-	if stamped {
+// fillLoads adds the known loads to a reply, at most once in loadInterval for each caller, and a stamp to that to the reader of another failure domain.
+// Polls are also answered because of suspicions and new snapshots, which may be more frequent. s.mu must be held.
+func (s *Share) fillLoads(now time.Time, args *NextArgs, reply *NextReply) {
+	if args.Readers {
 		reply.LoadStamp = max(int64(now.Sub(s.loads.start)), 1)
 	}
+	caller := xxhash.Sum64String(args.From)
+	if last, ok := s.loads.callers[caller]; ok && now.Sub(last) < s.loadInterval() {
+		return
+	}
 	if packed := s.packLoads(now); len(packed.loads) > 0 {
 		reply.Loads, reply.LoadsOf, reply.LoadAge, reply.LoadAges = packed.loads, s.digest, max(int64(now.Sub(packed.youngest)), 0), packed.ages
+		s.loads.recordCaller(now, caller)
+	}
+}
+
+// recordCaller records that loads were attached to a reply to a caller. If there are too many callers, all are forgotten, so that some get loads sooner.
+func (t *loadTable) recordCaller(now time.Time, caller uint64) {
+	if _, ok := t.callers[caller]; !ok && len(t.callers) >= maxCallers {
+		clear(t.callers)
 	}
+	t.callers[caller] = now
 }
 
 // mergeSentLoads takes over the loads in the arguments of a poll. The time that they were under way is the time since the stamped reply was written, by
@@ -216,25 +257,27 @@
 		return merged
 	}
 	merged.Digest = order.digest
+	s.evictLoads(now)
+	current := s.currentOrder(order)
 	for i, load := range list {
-		of, stated := time.Duration(age), load.Known
+		loadAge, stated := time.Duration(age), load.Known
 		if len(ages) > 0 {
-			of, stated = time.Duration(addAge(age, int64(ages[i])*int64(loadAgeUnit))), ages[i] != noLoad
+			loadAge, stated = time.Duration(addAge(age, int64(ages[i])*int64(loadAgeUnit))), ages[i] != noLoad
 		}
 		run := order.runs[i]
-		if !stated || !s.loads.merge(now, run, of, load) {
+		if !stated || !current.has(run.id, run.boot) || !s.loads.merge(now, run, loadAge, load) {
 			continue
 		}
-		merged.Loads = append(merged.Loads, model.UpstreamLoad{ID: run.id, Boot: run.boot, Work: load.Sum, Known: load.Known, Age: of})
+		merged.Loads = append(merged.Loads, model.UpstreamLoad{ID: run.id, Boot: run.boot, Work: load.Sum, Known: load.Known, Age: loadAge})
 	}
 	return merged
 }
 
-// merge takes over a load unless it is too old or not newer than the known one. It reports whether it did.
+// merge takes over a load unless it is too old, not newer than the known one, or of an earlier run than that. It reports whether it did.
 func (t *loadTable) merge(now time.Time, run loadRun, age time.Duration, load gauge.Packed) bool {
 	at := now.Add(-age)
 	old, ok := t.entries[run.id]
-	if age >= gauge.MaxAge || (ok && old.boot == run.boot && at.Sub(old.at) <= sameLoad) {
+	if age >= gauge.MaxAge || (ok && (old.boot > run.boot || (old.boot == run.boot && at.Sub(old.at) <= sameLoad))) {
 		return false
 	}
 	t.set(run.id, loadEntry{boot: run.boot, work: load.Sum, known: load.Known, at: at})
@@ -250,23 +293,50 @@
 // packLoads returns the known loads of the upstreams of the latest snapshot, encoded; there are none if all are too old. s.mu must be held.
 func (s *Share) packLoads(now time.Time) *packedLoads {
 	t := &s.loads
+	s.evictLoads(now)
+	if t.packed.digest != s.digest || t.packed.changes != t.changes {
+		t.packed = packedLoads{digest: s.digest, changes: t.changes}
+		if order, ok := s.orderFor(&s.latest, s.digest); ok && len(t.entries) > 0 {
+			t.packed.loads, t.packed.ages, t.packed.youngest = t.pack(order)
+		}
+	}
+	if now.Sub(t.packed.youngest) >= gauge.MaxAge {
+		return &packedLoads{}
+	}
+	return &t.packed
+}
+
+// evictLoads evicts the loads that are too old and those of runs that the latest snapshot does not list, at most once in evictInterval, and forgets the
+// callers that have not polled for callerTTL. It must come before new loads are stored, as they may be of a snapshot that is published only after that.
+// s.mu must be held.
+func (s *Share) evictLoads(now time.Time) {
+	t := &s.loads
+	if now.Sub(t.evictedAt) < evictInterval {
+		return
+	}
+	t.evictedAt = now
+	order, listed := s.orderFor(&s.latest, s.digest)
 	for id, e := range t.entries {
-		if now.Sub(e.at) >= gauge.MaxAge {
+		if now.Sub(e.at) >= gauge.MaxAge || (listed && !order.has(id, e.boot)) {
 			delete(t.entries, id)
 			t.changes++
 		}
 	}
-	if t.packed.digest == s.digest && t.packed.changes == t.changes {
-		return &t.packed
-	}
-	t.packed = packedLoads{digest: s.digest, changes: t.changes}
-	if len(t.entries) == 0 {
-		return &t.packed
+	for caller, last := range t.callers {
+		if now.Sub(last) >= callerTTL {
+			delete(t.callers, caller)
+		}
 	}
-	if order, ok := s.orderFor(&s.latest, s.digest); ok {
-		t.packed.loads, t.packed.ages, t.packed.youngest = t.pack(order)
+}
+
+// currentOrder returns the order of the snapshot that decides which runs are current: the latest one, or that of received loads if it is of a later state
+// of the store, as it is published only after its loads are received. s.mu must be held.
+func (s *Share) currentOrder(received *loadOrder) *loadOrder {
+	latest, ok := s.orderFor(&s.latest, s.digest)
+	if !ok || received.at.Compare(s.latest.At()) > 0 {
+		return received
 	}
-	return &t.packed
+	return latest
 }
 
 // pack encodes the entries for the upstreams of a snapshot; loads is empty if there are none.
@@ -298,9 +368,9 @@
 
 // orderOf returns the order of the upstreams of a recent snapshot, given its digest; s.mu must be held.
 func (s *Share) orderOf(digest uint64) (order *loadOrder, ok bool) {
-	for i := range s.loads.orders {
-		if s.loads.orders[i].digest == digest {
-			return &s.loads.orders[i], true
+	for _, order := range s.loads.orders {
+		if order.digest == digest {
+			return order, true
 		}
 	}
 	if digest == 0 || digest != s.digest {
@@ -315,12 +385,12 @@
 		return nil, false
 	}
 	t := &s.loads
-	for i := range t.orders {
-		if t.orders[i].digest == digest {
-			return &t.orders[i], true
+	for _, order := range t.orders {
+		if order.digest == digest {
+			return order, true
 		}
 	}
-	added := loadOrder{digest: digest, runs: make([]loadRun, 0, len(snap.Upstreams.Items))}
+	added := &loadOrder{digest: digest, at: snap.At(), runs: make([]loadRun, 0, len(snap.Upstreams.Items))}
 	for i := range snap.Upstreams.Items {
 		added.runs = append(added.runs, loadRun{id: snap.Upstreams.Items[i].ID, boot: snap.Upstreams.Items[i].Boot})
 	}
@@ -329,7 +399,7 @@
 	if len(t.orders) > maxOrders {
 		t.orders = slices.Delete(t.orders, 0, len(t.orders)-maxOrders)
 	}
-	return &t.orders[len(t.orders)-1], true
+	return added, true
 }
 
 // has reports whether the snapshot lists a run of an upstream.
--- a/internal/peer/share/loads_test.go
+++ b/internal/peer/share/loads_test.go
@@ -141,8 +141,8 @@
 	is.True(!ok) // The load of the previous run.
 }
 
-// TestOddLoads checks replies of earlier builds and with odd loads: they are dropped, and the poll succeeds.
-func TestOddLoads(t *testing.T) {
+// TestInvalidLoads checks replies of earlier builds and with invalid loads: they are dropped, and the poll succeeds.
+func TestInvalidLoads(t *testing.T) {
 	snap := newSnapshot(10, 2, 1)
 	two := gauge.Pack([]gauge.Report{{Running: 1, Slots: 1}, {Running: 2, Slots: 1}})
 	cases := map[string]struct {
@@ -297,8 +297,8 @@
 		is.True(l.Age >= 350*time.Millisecond)
 	}
 	// A time since the reply that is longer than the time since it was sent, and a stamp that this instance did not write, date nothing.
-	for _, odd := range []share.NextArgs{{LoadStamp: reply.LoadStamp, LoadSince: int64(time.Hour)}, {LoadStamp: 1 << 62}, {LoadStamp: -1 << 63, LoadSince: -1 << 63}, {}} {
-		args.Loads, args.LoadStamp, args.LoadSince = []byte{0, 9}, odd.LoadStamp, odd.LoadSince
+	for _, invalid := range []share.NextArgs{{LoadStamp: reply.LoadStamp, LoadSince: int64(time.Hour)}, {LoadStamp: 1 << 62}, {LoadStamp: -1 << 63, LoadSince: -1 << 63}, {}} {
+		args.Loads, args.LoadStamp, args.LoadSince = []byte{0, 9}, invalid.LoadStamp, invalid.LoadSince
 		is.NoErr(client.Call("Share.Next", args, &share.NextReply{}))
 	}
 	is.Equal(len(lead.take()), 0)
@@ -396,8 +396,8 @@
 	}
 }
 
-// TestOddSentLoads checks that the arguments of a poll with odd loads leave the called instance working, and its loads as they are.
-func TestOddSentLoads(t *testing.T) {
+// TestInvalidSentLoads checks that the arguments of a poll with invalid loads leave the called instance working, and its loads as they are.
+func TestInvalidSentLoads(t *testing.T) {
 	lead := newLoadPeer(t, "lead")
 	snap := newSnapshot(10, 2, 2)
 	lead.Publish(snap)
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -192,9 +192,9 @@
 	if err = s.links.Call(ctx, peer, nextMethod, args, &reply, wait+CallMargin); err != nil {
 		return reply, err
 	}
-	under := int64(transit(time.Since(start), wait, time.Duration(reply.Held)))
-	reply.Age += under
-	reply.LoadAge = addAge(reply.LoadAge, under)
+	transitTime := int64(transit(time.Since(start), wait, time.Duration(reply.Held)))
+	reply.Age += transitTime
+	reply.LoadAge = addAge(reply.LoadAge, transitTime)
 	return reply, nil
 }
 
@@ -277,7 +277,7 @@
 	if reply.Revision != 0 {
 		reply.Index, reply.Of = ordinal.Index, ordinal.Count
 		reply.Held = max(int64(now.Sub(start)), 1)
-		s.fillLoads(now, args.Readers, reply)
+		s.fillLoads(now, &args, reply)
 	}
 	return nil
 }
