--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,9 +76,11 @@
 	confirmedAt time.Time
 	// graceUntil is the end of the grace period after an outage of the store; until then, a missing registration is not conclusive.
 	graceUntil time.Time
+	// notifiedConfirmedAt and notifiedGraceUntil are confirmedAt and graceUntil as of the last publication that answered the polls that wait.
+	notifiedConfirmedAt, notifiedGraceUntil time.Time
 	// deltas holds the changes of the last publications, the oldest first; at most maxDeltas.
 	deltas []delta
-	// changed is closed and replaced at each publication and each broadcast of a suspicion.
+	// changed is closed and replaced at each publication of something new, each broadcast of a suspicion and when urgent loads are to be sent.
 	changed chan struct{}
 	// suspicions holds the latest suspicions. suspicionSeq is the sequence number of the last one; it starts at 1, as zero means none.
 	suspicions   []model.Suspicion
@@ -113,7 +116,8 @@
 	return s.links.Serve(ctx, s.cfg.Listener, srv)
 }
 
-// Publish replaces the latest snapshot, which the store confirmed snap.Age ago, and answers the polls that wait.
+// Publish replaces the latest snapshot, which the store confirmed snap.Age ago. It answers the polls that wait unless the snapshot says nothing new: a reply
+// to a reader that brings only loads leads to a publication too, up to four times a second.
 func (s *Share) Publish(snap model.Snapshot) {
 	now := time.Now()
 	s.mu.Lock()
@@ -123,9 +127,24 @@
 		s.deltas = append(s.deltas, newDelta(&s.latest, &snap))
 		s.deltas = s.deltas[max(len(s.deltas)-maxDeltas, 0):]
 	}
+	news := digest != s.digest || s.hasNews(now, &snap)
 	s.digest = digest
 	s.latest, s.confirmedAt, s.graceUntil = snap, now.Add(-snap.Age), now.Add(snap.GraceLeft)
-	s.notifyWaiters()
+	if news {
+		s.notifiedConfirmedAt, s.notifiedGraceUntil = s.confirmedAt, s.graceUntil
+		s.notifyWaiters()
+	}
+}
+
+// hasNews reports whether a snapshot with the digest of the latest one differs from it in its revision or reader records, or by more than wakeInterval in the
+// time of its confirmation or the end of its grace period; s.mu must be held.
+func (s *Share) hasNews(now time.Time, snap *model.Snapshot) bool {
+	if snap.At() != s.latest.At() || !slices.Equal(snap.Readers, s.latest.Readers) {
+		return true
+	}
+	confirmed := now.Add(-snap.Age).Sub(s.notifiedConfirmedAt)
+	grace := max(snap.GraceLeft, 0) - max(s.notifiedGraceUntil.Sub(now), 0)
+	return confirmed.Abs() > wakeInterval || grace.Abs() > wakeInterval
 }
 
 // notifyWaiters answers the polls that wait; s.mu must be held.
