--- a/internal/core/direct/admission.go
+++ b/internal/core/direct/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -189,6 +190,31 @@
 	return e.actions
 }
 
+// Admission is the state of the gate of a service.
+type Admission struct {
+	Service model.ServiceID
+	admit.State
+}
+
+// Admissions returns the state of the gate of each service that has one, in the order of services.
+func (e *Engine) Admissions() (states []Admission) {
+	for _, service := range e.admission.services() {
+		states = append(states, Admission{Service: service, State: e.admission.gates[service].State()})
+	}
+	return states
+}
+
+// AdmissionOf returns the state of the gate that a new flow to an address passes, and the priority of its route; ok is false if there is none. Of a route with
+// several targets, it is that of the first.
+func (e *Engine) AdmissionOf(address netip.AddrPort) (a Admission, priority model.Priority, ok bool) {
+	r := e.routes[address]
+	if r == nil || e.admission.gates[r.Targets[0].Service] == nil {
+		return a, 0, false
+	}
+	service := r.Targets[0].Service
+	return Admission{Service: service, State: e.admission.gates[service].State()}, r.Priority, true
+}
+
 // room returns the load of the upstreams of a service that take new flows, or would if they were not full. A failure domain that seems partitioned counts: its
 // upstreams take flows of other instances, and their loads are known only while its reader is in touch. So does an upstream that ignores SYNs: it may be full.
 func (e *Engine) room(now model.Instant, service model.ServiceID) (room admit.Room) {
--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -42,6 +42,8 @@
 	log logs.Logger
 	// decisions and stateChanges bound the lines of each kind.
 	decisions, stateChanges logs.Limiter
+	// limited holds whether the admission of new flows to a service was last logged as limited.
+	limited map[model.ServiceID]bool
 }
 
 // kindOf returns the kind of a decision. It is empty for packets of open flows, which go to the upstream chosen before and are not logged.
@@ -83,6 +85,9 @@
 	if _, delay := r.egress.Queued(); delay > 0 {
 		fields["queueMs"] = delay.Milliseconds()
 	}
+	if a.Reason == model.ReasonOverloaded {
+		r.addAdmission(fields, now, a)
+	}
 	if a.Attempt > 0 {
 		fields["choices"], fields["offered"] = a.Candidates, a.Attempt
 	}
@@ -97,6 +102,17 @@
 	r.recorder.log.WithAll(fields).Info(messages[kind])
 }
 
+// addAdmission adds what the decision on a new flow to a full service was based on: the load in requests for each slot, its age, the rate of admission, the
+// flows that are offered and that wait, and the priority of the flow.
+func (r *Relay) addAdmission(fields logs.Fields, now model.Instant, a *direct.Action) {
+	gate, priority, ok := r.engine.AdmissionOf(a.Flow.Service)
+	if !ok {
+		return
+	}
+	fields["priority"], fields["load"], fields["fullLoad"] = priority, gate.Load, gate.FullLoad
+	fields["loadAgeMs"], fields["ratePerS"], fields["offeredPerS"], fields["waiting"] = now.Sub(gate.Updated).Milliseconds(), gate.Rate, gate.Offered, gate.Waiting
+}
+
 // addEvidence adds what speaks for and against an upstream: failed probes and the ages of the last probe and of the last answer in a flow, as far as there
 // were any, and whether a later run has taken its place.
 func addEvidence(fields logs.Fields, now model.Instant, u *roster.Upstream) {
@@ -212,6 +228,25 @@
 	}
 }
 
+// updateAdmission updates the gauges of the admission of new flows, and logs when a limit begins or ends.
+func (r *Relay) updateAdmission() {
+	limited, waiting := 0, 0
+	for _, a := range r.engine.Admissions() {
+		if a.Limited {
+			limited++
+		}
+		waiting += a.Waiting
+		if r.recorder.limited[a.Service] == a.Limited {
+			continue
+		}
+		r.recorder.limited[a.Service] = a.Limited
+		r.logger("admission").With("service", a.Service).With("limited", a.Limited).With("load", a.Load).With("fullLoad", a.FullLoad).With("ratePerS", a.Rate).With("offeredPerS", a.Offered).
+			Warn("The upstreams of a service have become full, or have room again; while limited is true, new flows wait or are refused by priority.")
+	}
+	r.counts.Gauge("admission.limited_services").Update(float64(limited))
+	r.counts.Gauge("admission.waiting").Update(float64(waiting))
+}
+
 // updateGauges updates the gauges of upstreams, flows and the snapshot.
 func (r *Relay) updateGauges(now model.Instant) {
 	states := map[roster.State]int{}
@@ -236,6 +271,7 @@
 	r.counts.Gauge("loads.known").Update(float64(known))
 	r.counts.Gauge("loads.oldest_age_seconds").Update(oldest.Seconds())
 	r.counts.Gauge("flows").Update(float64(r.engine.FlowCount()))
+	r.updateAdmission()
 	queued, delay := r.egress.Queued()
 	r.counts.Gauge("egress.queued_bytes").Update(float64(queued))
 	r.counts.Gauge("egress.delay_seconds").Update(delay.Seconds())
