--- a/internal/run/relay/record.go
+++ b/internal/run/relay/record.go
@@ -110,7 +110,8 @@
 		return
 	}
 	fields["priority"], fields["load"], fields["fullLoad"] = priority, gate.Load, gate.FullLoad
-	fields["loadAgeMs"], fields["ratePerS"], fields["offeredPerS"], fields["waiting"] = now.Sub(gate.Updated).Milliseconds(), gate.Rate, gate.Offered, gate.Waiting
+	fields["loadAgeMs"], fields["waiting"] = now.Sub(gate.Updated).Milliseconds(), gate.Waiting
+	fields["ratePerS"], fields["offeredPerS"] = gate.Rate, gate.Offered
 }
 
 // addEvidence adds what speaks for and against an upstream: failed probes and the ages of the last probe and of the last answer in a flow, as far as there
@@ -240,7 +241,8 @@
 			continue
 		}
 		r.recorder.limited[a.Service] = a.Limited
-		r.logger("admission").With("service", a.Service).With("limited", a.Limited).With("load", a.Load).With("fullLoad", a.FullLoad).With("ratePerS", a.Rate).With("offeredPerS", a.Offered).
+		r.logger("admission").With("service", a.Service).With("limited", a.Limited).With("load", a.Load).With("fullLoad", a.FullLoad).
+			With("ratePerS", a.Rate).With("offeredPerS", a.Offered).
 			Warn("The upstreams of a service have become full, or have room again; while limited is true, new flows wait or are refused by priority.")
 	}
 	r.counts.Gauge("admission.limited_services").Update(float64(limited))
