--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -203,7 +203,10 @@
 	r.ordinal.Store(&model.Ordinal{})
 	r.counters = newActionCounters(r.counts)
 	r.handshakes, r.answers = r.counts.Latency("handshake"), r.counts.Latency("answer")
-	r.recorder = recorder{log: r.logger("flow"), decisions: logs.Limiter{Limit: decisionsPerSecond}, stateChanges: logs.Limiter{Limit: stateChangesPerSecond}, limited: map[model.ServiceID]bool{}}
+	r.recorder = recorder{
+		log: r.logger("flow"), decisions: logs.Limiter{Limit: decisionsPerSecond}, stateChanges: logs.Limiter{Limit: stateChangesPerSecond},
+		limited: map[model.ServiceID]bool{},
+	}
 	if r.cfg.LogsDropped == nil {
 		r.cfg.LogsDropped = func() int64 { return 0 }
 	}
