Let upstreams queue for a quarter of the target before a service is full

Change: a service is full at a load of 1 plus what waits for a slot within a quarter of the target, at most 3; without a target or a response time at 2, as before.

--- a/internal/load/admit/control.go
+++ b/internal/load/admit/control.go
@@ -10,6 +10,11 @@
 const (
 	// fullLoad is the load, in requests per slot, at which a service is full: one runs and one waits. More adds delay, but no throughput.
 	fullLoad = 2.0
+	// maxFullLoad is the highest load at which a service is full. Flows are placed by what one instance sees, so at a load of 2 some slots are idle while
+	// requests wait at others; where the target permits, a second waiting request keeps them in use.
+	maxFullLoad = 3.0
+	// queueShare is the divisor of the target that gives the time in the queues of upstreams.
+	queueShare = 4
 	// minFactor and maxFactor bound the change of the rate at one update; the page on overload names them.
 	minFactor, maxFactor = 0.6, 1.5
 	// floorShare is the share of the estimated capacity at the beginning of a limit below which the rate does not fall; the page on overload names a
@@ -262,11 +267,11 @@
 	return defaultService
 }
 
-// fullLoadFor returns the load at which a service is full: one request running for each slot, and as many waiting as half of the target allows, at
-// most one.
+// fullLoadFor returns the load at which a service is full: one request running for each slot, and as many waiting as a quarter of the target allows, at most
+// two. The rest of the target is for the wait at the gate and the response. Without a target or a response time, one waits.
 func fullLoadFor(target, service time.Duration) float64 {
 	if target <= 0 || service <= 0 {
 		return fullLoad
 	}
-	return min(fullLoad, 1+float64(target/patienceShare)/float64(service))
+	return min(maxFullLoad, 1+float64(target/queueShare)/float64(service))
 }
