Drop waiting SYNs after a stall of the instance

A SYN that waits for its turn while the instance is stalled was refused, or sent to an upstream, after the stall, when its caller's copies may have opened the flow through another instance: the reset would meet the open flow. Found by reading; TestWaitingSYNAfterStall failed in both cases before. The SYN is now dropped, as held SYNs are after the time of a caller's copy.

--- a/internal/core/direct/admission.go
+++ b/internal/core/direct/admission.go
@@ -36,6 +36,8 @@
 
 // waitingSyn is a SYN that waits at the gate of a service.
 type waitingSyn struct {
+	// at is when the first copy came here.
+	at model.Instant
 	// seg is the last copy that came here.
 	seg     model.Segment
 	copies  synCopies
@@ -72,7 +74,7 @@
 	}
 	switch verdict {
 	case admit.VerdictWait:
-		e.admission.waiting[seg.Flow] = &waitingSyn{seg: *seg, copies: e.synCopies(seg), service: service}
+		e.admission.waiting[seg.Flow] = &waitingSyn{at: now, seg: *seg, copies: e.synCopies(seg), service: service}
 		e.actions = append(e.actions, Action{Verb: model.VerbHold, Reason: model.ReasonOverloaded, Flow: seg.Flow})
 	case admit.VerdictRefuse:
 		e.reject(now, seg, e.synCopies(seg), model.ReasonOverloaded)
@@ -164,6 +166,9 @@
 	delete(e.admission.waiting, key)
 	r := e.routes[key.Service]
 	switch {
+	case now.Sub(w.at) > synHoldTime:
+		// The instance was stalled: a later copy may have been placed by another one.
+		e.drop(&w.seg, nil, model.ReasonHeldTooLong)
 	case r == nil:
 		e.reject(now, &w.seg, w.copies, model.ReasonNoRoute)
 	case verdict == admit.VerdictAdmit:
--- a/internal/core/direct/admission_test.go
+++ b/internal/core/direct/admission_test.go
@@ -190,3 +190,25 @@
 		})
 	}
 }
+
+// TestWaitingSYNAfterStall guards against a SYN that is refused or placed after a stall of the instance, when its caller's copies may have opened the flow through
+// another one.
+func TestWaitingSYNAfterStall(t *testing.T) {
+	for name, work := range map[string]int{"still full": 12, "room again": 0} {
+		t.Run(name, func(t *testing.T) {
+			h := newFullService(t)
+			port := uint16(1000)
+			h.press(1, orderAddress, 1, 5*time.Second, &port)
+			h.press(10, feedAddress, 12, time.Second, &port)
+			waiting := h.waitingSYN(port)
+			h.now = h.now.Add(time.Second)
+			actions := slices.Clone(h.report(work))
+			actions = append(actions, h.advance(time.Second)...)
+			for _, a := range actions {
+				if a.Flow == flowKey(waiting, feedAddress) && a.Verb != model.VerbProbe {
+					h.Equal(a.Verb, model.VerbDrop)
+				}
+			}
+		})
+	}
+}
