Decide once for all waiting flows of an ended upstream

The reason for which idempotent flows end with their upstream was computed three times: before the scan, for each flow and for each reset. It depends on whether the route is idempotent only, which the scan checks. No change of behaviour; the tests of internal/core/direct pass, and the linter reports 0 issues.

--- a/internal/core/direct/reach.go
+++ b/internal/core/direct/reach.go
@@ -120,12 +120,13 @@
 // resetWaitingFlows resets the idempotent flows that wait for a dead upstream: their callers' next retransmission may come after the request's
 // deadline. Other callers do not repeat their requests, so their flows are reset only at their next packet, if they have ended.
 func (e *Engine) resetWaitingFlows(now model.Instant, u *roster.Upstream) {
-	if e.endReason(now, model.RouteIdempotent, u) == model.ReasonNone {
+	reason := e.endReason(now, model.RouteIdempotent, u)
+	if reason == model.ReasonNone {
 		return
 	}
 	e.flows.Each(func(key model.FlowKey, f *flow) bool {
 		r := e.routes[key.Service]
-		if f.up == u && f.waits(now) && r != nil && r.Kind.Idempotent() && e.endReason(now, r.Kind, u) != model.ReasonNone {
+		if f.up == u && f.waits(now) && r != nil && r.Kind.Idempotent() {
 			e.resetQueue = append(e.resetQueue, key)
 		}
 		return true
@@ -136,7 +137,7 @@
 	})
 	for _, key := range e.resetQueue {
 		f := e.flows.Peek(key)
-		e.terminate(&model.Segment{Flow: key, AckSeq: f.ackSeq}, f, u, e.endReason(now, e.routes[key.Service].Kind, u))
+		e.terminate(&model.Segment{Flow: key, AckSeq: f.ackSeq}, f, u, reason)
 	}
 	e.resetQueue = e.resetQueue[:0]
 }
