--- a/review/_standin2/cold.go
+++ b/review/_standin2/cold.go
@@ -25,7 +25,7 @@
 	sent, arrived time.Time
 }
 
-// coldTracker checks rule FAILBACK for one cold start.
+// coldStart is one cold start of an endpoint, for which rule FAILBACK is checked.
 type coldStart struct {
 	e        *endpoint
 	from, to time.Time
@@ -62,12 +62,15 @@
 	return most, at
 }
 
-// report writes the result of each cold start, and reports whether one got too many requests.
+// reportColdStarts writes the result of each cold start, and reports whether one got too many requests.
 func reportColdStarts(w *world, starts []*coldStart) (over int) {
 	for _, c := range starts {
 		most, at := c.worst(w)
-		line := fmt.Sprintf("%s is cold from %.3f s to %.3f s: at most %d requests in one second, from %.3f s on; allowed are %.0f", c.e.name(),
-			w.rec.seconds(c.from), w.rec.seconds(c.to), most, w.rec.seconds(at), coldLimit)
+		line := fmt.Sprintf("%s is cold from %.3f s to %.3f s and gets at most %d requests in one second; allowed are %.0f", c.e.name(),
+			w.rec.seconds(c.from), w.rec.seconds(c.to), most, coldLimit)
+		if most > 0 {
+			line += fmt.Sprintf(" (from %.3f s on)", w.rec.seconds(at))
+		}
 		if float64(most) > coldLimit {
 			over++
 			line = "BROKEN FAILBACK: " + line
@@ -91,16 +94,20 @@
 			}
 			r := w.requesters[n%len(w.requesters)]
 			wg.Go(func() {
-				f, err := r.openFlow(route)
-				if err == nil {
-					err = f.request(fmt.Sprintf("r%d", n), 2*time.Second)
+				// A requester retries at most twice, and only if the flow never opened.
+				for range 3 {
+					f, err := r.openFlow(route)
+					if err != nil {
+						continue
+					}
+					if f.request(fmt.Sprintf("checkin-%d", n), 2*time.Second) == nil {
+						answered.Add(1)
+					} else {
+						failed.Add(1)
+					}
 					f.close()
-				}
-				if err != nil {
-					failed.Add(1)
 					return
 				}
-				answered.Add(1)
 			})
 		}
 	})
@@ -112,15 +119,21 @@
 	route := netip.MustParseAddrPort("127.1.1.1:8443")
 	cfg := worldConfig{
 		zones: []string{"zone-a", "zone-b", "zone-c"}, relays: []int{0, 0, 0, 1, 1, 2, 2}, clientDelay: time.Millisecond, warmupS: warmupS, warmupPerS: warmupPerS,
-		routes: []routeSpec{{name: "live-reading", kind: "safe", service: "livefeed", address: route}},
+		routes: []routeSpec{{name: "station-checkin", kind: "unsafe", service: "livefeed", address: route}},
 	}
 	for n := range 14 {
 		cfg.endpoints = append(cfg.endpoints, endpointSpec{zone: n % 3, service: "livefeed"})
 	}
 	w, err := newWorld(cfg, rec)
+	for _, e := range w.endpoints {
+		e.coldLimit = coldLimit
+	}
 	return w, route, err
 }
 
+// restartTime is how long an endpoint that crashes is down.
+const restartTime = 50 * time.Millisecond
+
 // playRestart crashes single endpoints, each of which starts again under its id a moment later.
 func playRestart(rec *record, trouble bool) (outcome, error) {
 	w, route, err := coldWorld(rec)
@@ -130,15 +143,15 @@
 	}
 	var answered, failed atomic.Int64
 	done := make(chan struct{})
-	wg := shortFlows(w, route, 280, done, &answered, &failed)
-	time.Sleep(8 * time.Second)
+	wg := shortFlows(w, route, 400, done, &answered, &failed)
+	time.Sleep(5 * time.Second)
 	var starts []*coldStart
-	for n := range 8 {
+	for n := range 14 {
 		e := w.endpoints[n]
 		if trouble {
 			rec.event("%s crashes", e.name())
 			e.crash()
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(restartTime)
 			if err := e.start(time.Duration(warmupS * float64(time.Second))); err != nil {
 				return couldNt, err
 			}
@@ -147,12 +160,19 @@
 			starts = append(starts, &coldStart{e: e, from: e.born, to: e.warmAt})
 			e.mu.Unlock()
 		}
-		time.Sleep(5*time.Second + time.Duration(n)*130*time.Millisecond)
+		time.Sleep(5*time.Second + time.Duration(n)*70*time.Millisecond)
 	}
 	close(done)
 	wg.Wait()
 	over := reportColdStarts(w, starts)
-	rec.say("%d requests answered, %d failed; %d of %d cold starts broke FAILBACK", answered.Load(), failed.Load(), over, len(starts))
+	falls := 0
+	for _, e := range w.endpoints {
+		e.mu.Lock()
+		falls += e.falls
+		e.mu.Unlock()
+	}
+	rec.say("%d requests answered, %d unsafe requests never answered after their flow had opened; %d of %d cold starts broke FAILBACK, %d times a cold endpoint fell over",
+		answered.Load(), failed.Load(), over, len(starts), falls)
 	if answered.Load() < 1000 {
 		return couldNt, fmt.Errorf("too few requests were answered")
 	}
@@ -162,13 +182,20 @@
 	return held, nil
 }
 
+// The changes of the configuration in quick succession: one each stormGap, for 4 s.
+const (
+	stormGap     = 330 * time.Millisecond
+	stormChanges = 12
+)
+
 // slowAnswer is the time that the slowed store takes for an answer: x 60 of its usual 4 ms.
 const slowAnswer = 240 * time.Millisecond
 
 // restartGap is the time between the restarts of two endpoints of the zone.
 const restartGap = 150 * time.Millisecond
 
-// playTakenBack empties a zone and takes it back, while the store is slow. The zone's endpoints become cold shortly before.
+// playTakenBack empties a zone and takes it back, again and again, while the store is slow and the configuration changes in quick succession. The zone's
+// endpoints become cold shortly before it is taken back.
 func playTakenBack(rec *record, trouble bool) (outcome, error) {
 	w, route, err := coldWorld(rec)
 	defer w.close()
@@ -186,19 +213,19 @@
 		zone := n % 3
 		rec.event("operator: evacuates %s", w.cfg.zones[zone])
 		w.store.EvacuateDomain(w.cfg.zones[zone])
-		time.Sleep(5500 * time.Millisecond)
+		time.Sleep(5 * time.Second)
 		if trouble {
 			rec.event("the store takes %s for an answer", slowAnswer)
 			w.store.SetDelay(slowAnswer)
 			go func() {
-				for range 12 {
+				for range stormChanges {
 					version++
 					w.configure(version, w.cfg.routes)
-					time.Sleep(330 * time.Millisecond)
+					time.Sleep(stormGap)
 				}
 			}()
 		}
-		time.Sleep(2*time.Second + time.Duration(n)*117*time.Millisecond)
+		time.Sleep(1200*time.Millisecond + time.Duration(n)*97*time.Millisecond)
 		var cold []*endpoint
 		for _, e := range w.endpoints {
 			if e.spec.zone == zone {
@@ -221,7 +248,7 @@
 			starts = append(starts, &coldStart{e: e, from: e.born, to: e.warmAt})
 			e.mu.Unlock()
 		}
-		time.Sleep(2400 * time.Millisecond)
+		time.Sleep(1600 * time.Millisecond)
 		if trouble {
 			w.store.SetDelay(4 * time.Millisecond)
 			rec.event("the store takes 4 ms for an answer again")
@@ -231,7 +258,14 @@
 	close(done)
 	wg.Wait()
 	over := reportColdStarts(w, starts)
-	rec.say("%d requests answered, %d failed; %d of %d cold starts broke FAILBACK", answered.Load(), failed.Load(), over, len(starts))
+	falls := 0
+	for _, e := range w.endpoints {
+		e.mu.Lock()
+		falls += e.falls
+		e.mu.Unlock()
+	}
+	rec.say("%d requests answered, %d unsafe requests never answered after their flow had opened; %d of %d cold starts broke FAILBACK, %d times a cold endpoint fell over",
+		answered.Load(), failed.Load(), over, len(starts), falls)
 	if over > 0 {
 		return broken, nil
 	}
--- a/review/_standin2/endpoint.go
+++ b/review/_standin2/endpoint.go
@@ -34,6 +34,9 @@
 	endpointRetransmits = 8
 )
 
+// entryLapse is three intervals of status reports, after which the platform removes the entry of an endpoint that is silent.
+const entryLapse = 3600 * time.Millisecond
+
 // opening is a flow that an endpoint took.
 type opening struct {
 	key model.FlowKey
@@ -49,6 +52,7 @@
 	number uint64
 
 	mu       sync.Mutex
+	line     *delayLine
 	conn     *net.UDPConn
 	listener net.Listener
 	server   *http.Server
@@ -65,6 +69,10 @@
 	executed map[string]int
 	// workTime is the duration of a request.
 	workTime time.Duration
+	// coldLimit, if not zero, is the number of flows that the endpoint bears in one second while it is cold. It falls over under more: all that it holds is lost.
+	coldLimit float64
+	// falls counts how often it fell over, and lostInFall the requests that it was running then.
+	falls, lostInFall int
 }
 
 // endpointFlow is a flow at its endpoint.
@@ -105,6 +113,7 @@
 	e.born, e.seq, e.running, e.draining = time.Now(), 0, 0, false
 	e.warmAt = e.born.Add(coldFor)
 	if e.executed == nil {
+		e.line = newDelayLine(e.w.cfg.clientDelay)
 		e.executed = map[string]int{}
 	}
 	if e.workTime == 0 {
@@ -124,6 +133,9 @@
 func (e *endpoint) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.conn == nil {
+		return
+	}
 	_ = e.conn.Close()
 	_ = e.server.Close()
 	e.conn, e.flows = nil, nil
@@ -271,6 +283,10 @@
 		f.open, f.unackedSyn = true, false
 		f.generation++
 		e.openings = append(e.openings, opening{key: key, arrived: f.arrived})
+		if e.overloaded() {
+			e.fallOver()
+			return
+		}
 	}
 	if f.unacked != nil && h.AckSeq == f.unackedEnd {
 		f.next, f.unacked = f.unackedEnd, nil
@@ -291,6 +307,36 @@
 	}
 }
 
+// overloaded reports whether the cold endpoint has taken more flows in the last second than it bears.
+func (e *endpoint) overloaded() bool {
+	if e.coldLimit == 0 || time.Now().After(e.warmAt) {
+		return false
+	}
+	n := 0
+	for i := len(e.openings) - 1; i >= 0 && time.Since(e.openings[i].arrived) < time.Second && !e.openings[i].arrived.Before(e.born); i-- {
+		n++
+	}
+	return float64(n) > e.coldLimit
+}
+
+// fallOver ends the incarnation; the endpoint stays down. e.mu is held.
+func (e *endpoint) fallOver() {
+	e.falls++
+	e.lostInFall += e.running
+	e.w.rec.event("%s falls over: it is cold and has taken more than %.0f requests in a second; %d requests in progress are lost", e.name(), e.coldLimit, e.running)
+	_ = e.conn.Close()
+	_ = e.server.Close()
+	e.conn, e.flows = nil, nil
+	born := e.born
+	time.AfterFunc(entryLapse, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.born.Equal(born) {
+			e.w.store.Remove("servers", e.id())
+		}
+	})
+}
+
 // run runs a request, the data of a packet, and answers it.
 func (e *endpoint) run(key model.FlowKey, f *endpointFlow, id string) {
 	e.executed[id]++
@@ -321,5 +367,5 @@
 		return
 	}
 	raw, conn := format(h, data), e.conn
-	time.AfterFunc(e.w.cfg.clientDelay, func() { _, _ = conn.WriteToUDPAddrPort(raw, to) })
+	e.line.add(func() { _, _ = conn.WriteToUDPAddrPort(raw, to) })
 }
--- a/review/_standin2/requester.go
+++ b/review/_standin2/requester.go
@@ -24,6 +24,7 @@
 	zone int
 	conn *net.UDPConn
 	addr netip.Addr
+	line *delayLine
 
 	mu     sync.Mutex
 	port   uint16
@@ -42,7 +43,7 @@
 		return nil, err
 	}
 	_ = conn.SetReadBuffer(4 << 20)
-	r := &requester{w: w, zone: zone, conn: conn, addr: addr.Addr(), port: 20000, flows: map[netip.AddrPort]*flow{}, sentAt: map[model.FlowKey]time.Time{}}
+	r := &requester{w: w, zone: zone, conn: conn, addr: addr.Addr(), line: newDelayLine(w.cfg.clientDelay), port: 20000, flows: map[netip.AddrPort]*flow{}, sentAt: map[model.FlowKey]time.Time{}}
 	go r.read()
 	return r, nil
 }
@@ -152,7 +153,7 @@
 		h.AckSeq, h.Tag = f.ack, f.echo
 	}
 	raw, r := format(h, data), f.r
-	time.AfterFunc(r.w.cfg.clientDelay, func() {
+	r.line.add(func() {
 		if p := r.w.route(f.key, r.zone); p != nil {
 			_, _ = r.conn.WriteToUDPAddrPort(raw, r.w.addr(groupRelays, p.index+1, dataPort))
 		}
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -40,6 +40,36 @@
 	groupRequesters
 )
 
+// delayLine runs functions in order, each a fixed time after it was added: a link with a delay, on which packets do not overtake each other.
+type delayLine struct {
+	delay time.Duration
+	queue chan delayed
+}
+
+type delayed struct {
+	at time.Time
+	f  func()
+}
+
+func newDelayLine(delay time.Duration) *delayLine {
+	l := &delayLine{delay: delay, queue: make(chan delayed, 1<<16)}
+	go func() {
+		for d := range l.queue {
+			time.Sleep(time.Until(d.at))
+			d.f()
+		}
+	}()
+	return l
+}
+
+// add queues a function; it drops it if the link is full.
+func (l *delayLine) add(f func()) {
+	select {
+	case l.queue <- delayed{at: time.Now().Add(l.delay), f: f}:
+	default:
+	}
+}
+
 // worldConfig configures a world.
 type worldConfig struct {
 	zones []string
