--- a/review/_standin2/cold.go
+++ b/review/_standin2/cold.go
@@ -119,7 +119,7 @@
 	route := netip.MustParseAddrPort("127.1.1.1:8443")
 	cfg := worldConfig{
 		zones: []string{"zone-a", "zone-b", "zone-c"}, relays: []int{0, 0, 0, 1, 1, 2, 2}, clientDelay: time.Millisecond, warmupS: warmupS, warmupPerS: warmupPerS,
-		routes: []routeSpec{{name: "station-checkin", kind: "unsafe", service: "livefeed", address: route}},
+		routes: []routeSpec{{name: "station-checkin", kind: "unsafe", service: "livefeed", address: route, priority: 1}},
 	}
 	for n := range 14 {
 		cfg.endpoints = append(cfg.endpoints, endpointSpec{zone: n % 3, service: "livefeed"})
--- a/review/_standin2/secondanswer.go
+++ b/review/_standin2/secondanswer.go
@@ -31,7 +31,7 @@
 		cfg.endpoints = append(cfg.endpoints, endpointSpec{zone: 0, service: "reservations"}, endpointSpec{zone: 2, service: "reservations"})
 	}
 	route := netip.MustParseAddrPort("127.1.1.1:8443")
-	cfg.routes = []routeSpec{{name: "reserve-edit", kind: "unsafe", service: "reservations", address: route}}
+	cfg.routes = []routeSpec{{name: "reserve-edit", kind: "unsafe", service: "reservations", address: route, priority: 1}}
 	w, err := newWorld(cfg, rec)
 	defer w.close()
 	if err != nil {
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -92,6 +92,7 @@
 type routeSpec struct {
 	name, kind, service string
 	address             netip.AddrPort
+	priority            int
 }
 
 // world is a small deployment: relay processes and stand-ins for the platform, the endpoints and the requesters.
@@ -218,7 +219,7 @@
 	for _, r := range routes {
 		list = append(list, map[string]any{
 			"name": r.name, "hostname": r.address.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", r.address.Port()), "route-type": r.kind,
-			"timeout-ms": 2000, "target-latency-ms": 400, "priority": 1, "service": r.service, "attempts": 2,
+			"timeout-ms": 2000, "target-latency-ms": 400, "priority": r.priority, "service": r.service, "attempts": 2,
 		})
 		if !seen[r.service] {
 			seen[r.service] = true
