--- a/review/_standin2/endpoint.go
+++ b/review/_standin2/endpoint.go
@@ -67,6 +67,10 @@
 	openings []opening
 	// executed counts the runs of each request.
 	executed map[string]int
+	// entry is the text of the entry as last written.
+	entry json.RawMessage
+	// misrouted counts the requests that came on a route of another service.
+	misrouted int
 	// workTime is the duration of a request.
 	workTime time.Duration
 	// coldLimit, if not zero, is the number of flows that the endpoint bears in one second while it is cold. It falls over under more: all that it holds is lost.
@@ -154,12 +158,22 @@
 		"service": e.spec.service, "address": e.address().String(), "zone": e.w.cfg.zones[e.spec.zone], "version": "v1", "slots": 2, "state": state,
 		"warmup-left-ms": max(time.Until(e.warmAt), 0).Milliseconds(), "seq": e.seq, "born": e.born.UnixMilli(),
 	})
+	e.entry = text
 	e.w.store.Put("servers", e.id(), text)
 }
 
-// beat reports to the store every 1.2 s while the endpoint is cold and once after; later reports change nothing but seq, so that the entry stays as it is.
+// rewrite writes the last entry again. It changes nothing unless another writer has changed the entry.
+func (e *endpoint) rewrite() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		e.w.store.Put("servers", e.id(), e.entry)
+	}
+}
+
+// beat reports to the store every 1.2 s. Once the endpoint is warm, its reports change nothing but seq, so that the entry stays as it is.
 func (e *endpoint) beat(conn *net.UDPConn) {
-	for warm := false; !warm; {
+	for warm := false; ; {
 		select {
 		case <-time.After(1200 * time.Millisecond):
 		case <-e.w.stop:
@@ -171,6 +185,10 @@
 		if !current {
 			return
 		}
+		if warm {
+			e.rewrite()
+			continue
+		}
 		warm = left <= 0
 		e.register()
 	}
@@ -341,6 +359,10 @@
 func (e *endpoint) run(key model.FlowKey, f *endpointFlow, id string) {
 	e.executed[id]++
 	e.running++
+	if !e.w.allowed(key.Service, e.spec.service) {
+		e.misrouted++
+		e.w.rec.event("BROKEN ROUTE: %s runs request %s of the route %s", e.name(), id, key.Service)
+	}
 	conn := e.conn
 	e.w.rec.event("%s runs request %s", e.name(), id)
 	time.AfterFunc(e.workTime, func() {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(rec *record, trouble bool) (outcome, error){
 	"second-answer": playSecondAnswer,
 	"restart":       playRestart,
+	"foreign":       playForeign,
 	"priority":      playPriority,
 	"taken-back":    playTakenBack,
 }
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -112,6 +112,8 @@
 	mu sync.Mutex
 	// drop, if not nil, reports whether a datagram between two addresses is lost.
 	drop func(from, to netip.Addr) bool
+	// everRouted holds what any configuration has allowed.
+	everRouted map[routeTarget]bool
 }
 
 func newWorld(cfg worldConfig, rec *record) (*world, error) {
@@ -119,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{cfg: cfg, dir: dir, rec: rec, store: stand.NewStore(), subnet: freeSubnet(), stop: make(chan struct{})}
+	w := &world{cfg: cfg, dir: dir, rec: rec, store: stand.NewStore(), subnet: freeSubnet(), stop: make(chan struct{}), everRouted: map[routeTarget]bool{}}
 	l, err := net.Listen("tcp", w.addr(groupStore, 1, storePort).String())
 	if err != nil {
 		return w, err
@@ -213,8 +215,26 @@
 	return f != nil && f(from.Unmap(), to.Unmap())
 }
 
+// allowed reports whether a configuration has ever allowed the requests of a route to go to a service.
+func (w *world) allowed(route netip.AddrPort, service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.everRouted[routeTarget{route, service}]
+}
+
+// routeTarget is a service that a configuration lets the requests of a route go to.
+type routeTarget struct {
+	route   netip.AddrPort
+	service string
+}
+
 // configure writes a version of the configuration.
 func (w *world) configure(version int, routes []routeSpec) {
+	w.mu.Lock()
+	for _, r := range routes {
+		w.everRouted[routeTarget{r.address, r.service}] = true
+	}
+	w.mu.Unlock()
 	list, services, seen := []map[string]any{}, []map[string]any{}, map[string]bool{}
 	for _, r := range routes {
 		list = append(list, map[string]any{
