--- a/review/_standin2/cold.go
+++ b/review/_standin2/cold.go
@@ -209,11 +209,11 @@
 	time.Sleep(4 * time.Second)
 	var starts []*coldStart
 	version := 1
-	for n := range 9 {
+	for n := range 14 {
 		zone := n % 3
 		rec.event("operator: evacuates %s", w.cfg.zones[zone])
 		w.store.EvacuateDomain(w.cfg.zones[zone])
-		time.Sleep(5 * time.Second)
+		time.Sleep(3 * time.Second)
 		if trouble {
 			rec.event("the store takes %s for an answer", slowAnswer)
 			w.store.SetDelay(slowAnswer)
@@ -225,7 +225,7 @@
 				}
 			}()
 		}
-		time.Sleep(1200*time.Millisecond + time.Duration(n)*97*time.Millisecond)
+		time.Sleep(1200*time.Millisecond + time.Duration(n%9)*97*time.Millisecond)
 		var cold []*endpoint
 		for _, e := range w.endpoints {
 			if e.spec.zone == zone {
--- a/review/_standin2/foreign.go
+++ b/review/_standin2/foreign.go
@@ -9,7 +9,7 @@
 )
 
 // foreignInterval is the time between two rounds in which another writer overwrites the entries of one service.
-const foreignInterval = 2 * time.Second
+const foreignInterval = 1500 * time.Millisecond
 
 // playForeign stops and starts the machines in turn, while another writer overwrites the entries of the claims endpoints: its entries lack born and name
 // the orders service.
@@ -32,7 +32,7 @@
 	}
 	var answered, failed atomic.Int64
 	done := make(chan struct{})
-	wg := shortFlows(w, orders, 83, done, &answered, &failed)
+	wg := shortFlows(w, orders, 200, done, &answered, &failed)
 	photos := shortFlows(w, claims, 25, done, &answered, &failed)
 	time.Sleep(5 * time.Second)
 	if trouble {
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -119,13 +119,14 @@
 func newWorld(cfg worldConfig, rec *record) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-case-")
 	if err != nil {
-		return nil, err
+		return &world{stop: make(chan struct{})}, err
 	}
-	w := &world{cfg: cfg, dir: dir, rec: rec, store: stand.NewStore(), subnet: freeSubnet(), stop: make(chan struct{}), everRouted: map[routeTarget]bool{}}
-	l, err := net.Listen("tcp", w.addr(groupStore, 1, storePort).String())
+	w := &world{cfg: cfg, dir: dir, rec: rec, store: stand.NewStore(), stop: make(chan struct{}), everRouted: map[routeTarget]bool{}}
+	l, subnet, err := listenStore()
 	if err != nil {
 		return w, err
 	}
+	w.subnet = subnet
 	go func() { _ = http.Serve(l, w.store.Handler()) }()
 	w.configure(1, cfg.routes)
 	for n, spec := range cfg.endpoints {
@@ -171,16 +172,14 @@
 	_ = os.RemoveAll(w.dir)
 }
 
-// freeSubnet returns the second byte of loopback addresses that nothing listens on.
-func freeSubnet() byte {
+// listenStore opens the store's port on the first subnet of loopback addresses that no other run uses, and returns the subnet's second byte.
+func listenStore() (l net.Listener, subnet byte, err error) {
 	for n := 90; n < 250; n++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", n, groupStore, storePort))
-		if err == nil {
-			_ = l.Close()
-			return byte(n)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", n, groupStore, storePort)); err == nil {
+			return l, byte(n), nil
 		}
 	}
-	return 89
+	return nil, 0, err
 }
 
 func (w *world) addr(group, host int, port uint16) netip.AddrPort {
