review: case 6 with planned work alone

Nothing has to be lost for an open flow to be reset by another endpoint: a rolling restart is enough. The script that also lost packets is replaced.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/hawthorncourse ] && [ -x target/standin2 ] || { echo "not built: run the build of deploy/system.toml and review/build-2.sh" >&2; exit 2; }
-exec target/standin2 second-answer "$here/record.txt"
+exec target/standin2 planned "$here/record.txt"
--- a/review/_standin2/endpoint.go
+++ b/review/_standin2/endpoint.go
@@ -75,6 +75,8 @@
 	workTime time.Duration
 	// coldLimit, if not zero, is the number of flows that the endpoint bears in one second while it is cold. It falls over under more: all that it holds is lost.
 	coldLimit float64
+	// answeredSyns counts the flows whose SYN was answered.
+	answeredSyns int
 	// falls counts how often it fell over, and lostInFall the requests that it was running then.
 	falls, lostInFall int
 }
@@ -266,6 +268,7 @@
 	isn := uint32(time.Now().UnixNano()/1000)*2654435761 + uint32(e.index)
 	f = &endpointFlow{arrived: time.Now(), isn: isn, next: isn + 1, recvNext: h.Seq + 1, echo: h.Tag}
 	e.flows[key] = f
+	e.answeredSyns++
 	f.unackedSyn, f.unackedEnd = true, isn+1
 	e.transmit(key, f)
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -19,11 +19,11 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (outcome, error){
-	"second-answer": playSecondAnswer,
-	"restart":       playRestart,
-	"foreign":       playForeign,
-	"priority":      playPriority,
-	"taken-back":    playTakenBack,
+	"restart":    playRestart,
+	"foreign":    playForeign,
+	"planned":    playPlanned,
+	"priority":   playPriority,
+	"taken-back": playTakenBack,
 }
 
 func main() {
