--- a/review/_standin2/endpoint.go
+++ b/review/_standin2/endpoint.go
@@ -77,8 +77,8 @@
 	coldLimit float64
 	// answeredSyns counts the flows whose SYN was answered.
 	answeredSyns int
-	// falls counts how often it fell over, and lostInFall the requests that it was running then.
-	falls, lostInFall int
+	// falls counts how often it fell over.
+	falls int
 }
 
 // endpointFlow is a flow at its endpoint.
@@ -214,9 +214,6 @@
 		if err != nil {
 			return
 		}
-		if e.w.lost(from.Addr(), e.address().Addr()) {
-			continue
-		}
 		raw := append([]byte(nil), buf[:n]...)
 		e.mu.Lock()
 		if e.conn == conn {
@@ -343,7 +340,6 @@
 // fallOver ends the incarnation; the endpoint stays down. e.mu is held.
 func (e *endpoint) fallOver() {
 	e.falls++
-	e.lostInFall += e.running
 	e.w.rec.event("%s falls over: it is cold and has taken more than %.0f requests in a second; %d requests in progress are lost", e.name(), e.coldLimit, e.running)
 	_ = e.conn.Close()
 	_ = e.server.Close()
@@ -388,7 +384,7 @@
 func (e *endpoint) send(key model.FlowKey, h platform.Header, data []byte) {
 	h.From, h.To = key.Service, key.Caller
 	to := netip.AddrPortFrom(key.Caller.Addr(), dataPort)
-	if e.conn == nil || e.w.lost(e.address().Addr(), to.Addr()) {
+	if e.conn == nil {
 		return
 	}
 	raw, conn := format(h, data), e.conn
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -110,12 +110,23 @@
 	requesters []*requester
 
 	mu sync.Mutex
-	// drop, if not nil, reports whether a datagram between two addresses is lost.
-	drop func(from, to netip.Addr) bool
 	// everRouted holds what any configuration has allowed.
 	everRouted map[routeTarget]bool
 }
 
+// withoutEra removes a header that the project's stand-in sends and the pages do not describe.
+func withoutEra(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { h.ServeHTTP(eraFilter{rw}, r) })
+}
+
+type eraFilter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (f eraFilter) WriteHeader(status int) {
+	f.Header().Del("Store-Era")
+	f.ResponseWriter.WriteHeader(status)
+}
+
 func newWorld(cfg worldConfig, rec *record) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-case-")
 	if err != nil {
@@ -127,7 +138,7 @@
 		return w, err
 	}
 	w.subnet = subnet
-	go func() { _ = http.Serve(l, w.store.Handler()) }()
+	go func() { _ = http.Serve(l, withoutEra(w.store.Handler())) }()
 	w.configure(1, cfg.routes)
 	for n, spec := range cfg.endpoints {
 		e := &endpoint{w: w, index: n, spec: spec, number: uint64(0xe0000000 + n + 1)}
@@ -186,34 +197,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, w.subnet, byte(group), byte(host)}), port)
 }
 
-// zoneOf returns the zone of a relay, an endpoint or a requester by its address.
-func (w *world) zoneOf(a netip.Addr) int {
-	b := a.Unmap().As4()
-	n := int(b[3]) - 1
-	switch {
-	case b[2] == groupRelays && n < len(w.cfg.relays):
-		return w.cfg.relays[n]
-	case b[2] == groupEndpoints && n < len(w.cfg.endpoints):
-		return w.cfg.endpoints[n].zone
-	case b[2] == groupRequesters:
-		return n
-	}
-	return -1
-}
-
-func (w *world) setDrop(f func(from, to netip.Addr) bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.drop = f
-}
-
-func (w *world) lost(from, to netip.Addr) bool {
-	w.mu.Lock()
-	f := w.drop
-	w.mu.Unlock()
-	return f != nil && f(from.Unmap(), to.Unmap())
-}
-
 // allowed reports whether a configuration has ever allowed the requests of a route to go to a service.
 func (w *world) allowed(route netip.AddrPort, service string) bool {
 	w.mu.Lock()
