Count the age of SYNs from when they are sent on, and give copies leases

SYNs that are held while an instance starts are sent on later, so that their flows' first packets were dropped for good; copies of SYNs got no lease, so that flows that moved right after one were dropped as well; and after a start of all instances none knew the shared time.

Change: the time counts from when the SYN is sent on because of a copy. A held SYN is dropped if a later packet of its flow has come, as the caller has an answer. A copy of which earlier ones went elsewhere gets a lease too: the caller has sent it since it had no answer, so its first packet has the tag of the answer that it accepts. Packets count as arrived when they were read, not when they are handled. Until an instance has polled another one, it uses the time of day at its start, taken as right within 15 ms.

Ruled out: waiting for the shared time before an instance is ready (delays the return of all).

TestSynHeldAtStart and TestClockAtStart are new; TestSynCopyAfterOneOfOtherInstance sends its copies at the times at which callers do.

--- a/internal/core/direct/copy.go
+++ b/internal/core/direct/copy.go
@@ -26,6 +26,12 @@
 	return f.established && now.Sub(f.synAt) < synCopyTime && f.sentSeq-syn.Seq <= seqWindow
 }
 
+// precedesRetransmission reports whether the caller cannot have retransmitted a packet after the SYN yet. It sends none before it has an answer, and that is one
+// to the last copy, or to the only one.
+func (f *flow) precedesRetransmission(now model.Instant) bool {
+	return now.Sub(f.copyAt) < retransmitAfter || f.copies.count == 1 && f.copies.complete(now)
+}
+
 // isEarlier reports whether a SYN opens a later flow on the same port.
 func (f *flow) isEarlier(syn *model.Segment) bool {
 	return f.established || f.copies.seq != syn.Seq || (syn.Retransmission == 0 && f.syn == nil)
@@ -38,16 +44,18 @@
 // through another instance, to an upstream that answers it.
 type synCopies struct {
 	seq, count uint32
-	// firstAt and lastAt are when the first and the last one came here, counted or not.
-	firstAt, lastAt model.Instant
+	// firstAt is when the first one came here.
+	firstAt model.Instant
+	// missing is set once a copy has come here and an earlier one has not.
+	missing bool
 }
 
 // add counts a SYN.
 func (c *synCopies) add(now model.Instant, syn *model.Segment) {
-	c.lastAt = now.Add(-syn.Delay)
 	if c.seq != syn.Seq || c.firstAt == 0 {
-		*c = synCopies{seq: syn.Seq, firstAt: c.lastAt, lastAt: c.lastAt}
+		*c = synCopies{seq: syn.Seq, firstAt: now.Add(-syn.Delay)}
 	}
+	c.missing = c.missing || syn.Retransmission > c.count
 	if c.count == syn.Retransmission {
 		c.count++
 	}
@@ -73,20 +81,15 @@
 	}
 }
 
-// precedeRetransmission reports whether the caller cannot have retransmitted a packet after the SYN yet. It sends none before it has an answer, and that is one
-// to the last copy, or to the only one.
-func (c *synCopies) precedeRetransmission(now model.Instant) bool {
-	return now.Sub(c.lastAt) < retransmitAfter || c.count == 1 && c.complete(now)
-}
-
 // precedeOther reports whether all copies up to the last one came here, and the caller cannot have retransmitted a packet after an answer to a copy that went
 // elsewhere since.
 func (c *synCopies) precedeOther(now model.Instant) bool {
+	waited := now.Sub(c.firstAt)
 	switch c.count {
 	case 1:
-		return now.Sub(c.lastAt) < firstCopyAfter+retransmitAfter
+		return waited < firstCopyAfter+retransmitAfter
 	case 2:
-		return now.Sub(c.lastAt) < lastCopyAfter-firstCopyAfter+retransmitAfter
+		return waited < lastCopyAfter+retransmitAfter
 	default:
 		return false
 	}
--- a/internal/core/direct/engine.go
+++ b/internal/core/direct/engine.go
@@ -149,7 +149,7 @@
 	suspicions    suspicions
 	admission     admission
 	cold          coldLimiter
-	// clock is the last reading of the clock that all instances share. SYNs that came here before leasesFrom get no lease.
+	// clock is the last reading of the clock that all instances share. SYNs that are handled before leasesFrom get no lease.
 	clock      clock.Reading
 	leasesFrom model.Instant
 	// ordinal is the number of this instance within its failure domain, valid until ordinalUntil.
--- a/internal/core/direct/flow.go
+++ b/internal/core/direct/flow.go
@@ -19,6 +19,8 @@
 	copies synCopies
 	// synAt is when the SYN was last sent to up or, if this instance did not see the SYN, when the flow's first packet arrived.
 	synAt model.Instant
+	// copyAt is when the SYN was last sent because a copy of it had come from the caller.
+	copyAt model.Instant
 	// leased is set if the SYN was sent to up with a lease; it goes to no other upstream until that is over.
 	leased bool
 	// probed is set once up has answered a probe, and was not full, since the SYN went unanswered there.
--- a/internal/core/direct/hold.go
+++ b/internal/core/direct/hold.go
@@ -63,6 +63,8 @@
 		p := &waiting[i]
 		p.seg.Delay = now.Sub(p.at)
 		switch {
+		case p.seg.Syn && hasAnswer(waiting[i+1:], p.seg.Flow):
+			e.drop(&p.seg, nil, model.ReasonRepeat)
 		case p.expired(now):
 			e.dropHeld(now, &p.seg, model.ReasonHeldTooLong)
 		case p.seg.Syn || !e.waits(now, &p.seg):
@@ -73,6 +75,11 @@
 	}
 }
 
+// hasAnswer reports whether the caller of a flow has an answer to its SYN, as shown by a later packet.
+func hasAnswer(later []heldPacket, key model.FlowKey) bool {
+	return slices.ContainsFunc(later, func(p heldPacket) bool { return p.seg.Flow == key && !p.seg.Syn })
+}
+
 // releaseHeldOf handles the packets of a flow that has just been established, which were held because of their opening tags.
 func (e *Engine) releaseHeldOf(now model.Instant, key model.FlowKey) {
 	var released []heldPacket
--- a/internal/core/direct/late_answer_test.go
+++ b/internal/core/direct/late_answer_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,7 +87,8 @@
 	}{
 		"in time":                       {wait: 60 * time.Millisecond, follows: true},
 		"too late":                      {wait: 90 * time.Millisecond},
-		"a copy of the SYN":             {syn: syn1(0, 1), wait: 10 * time.Millisecond},
+		"a copy of the SYN":             {syn: syn1(0, 1), wait: 10 * time.Millisecond, follows: true},
+		"a copy of the SYN, too late":   {syn: syn1(0, 1), wait: 90 * time.Millisecond},
 		"the shared time is not known":  {prepare: func(h *harness) { h.engine.SetClock(readingOf(0, 0, 0)) }, wait: 10 * time.Millisecond},
 		"not known at the other":        {other: func(h *harness) { h.engine.SetClock(readingOf(0, 0, 0)) }, wait: 10 * time.Millisecond},
 		"another epoch at the other":    {other: func(h *harness) { h.engine.SetClock(readingOf(2, h.now, 0)) }, wait: 10 * time.Millisecond},
@@ -133,3 +135,40 @@
 	h.Equal(forwards(h.advance(leaseTime-2*h.now.Sub(start))), 0)
 	h.Equal(forwards(h.advance(2*leaseTime)), 1)
 }
+
+// TestSynHeldAtStart guards against flows that hang since their SYN was held while the instance started: the first packet comes long after the caller has sent
+// the SYN. If the caller has got an answer meanwhile, the SYN goes nowhere.
+func TestSynHeldAtStart(t *testing.T) {
+	const held = 260 * time.Millisecond
+	for _, answered := range []bool{false, true} {
+		t.Run(fmt.Sprintf("answered meanwhile: %t", answered), func(t *testing.T) {
+			h := newHarness(t, threeUpstreams()...)
+			h.engine = direct.New(direct.Config{Domain: "east", Seed: 1, Limits: direct.Limits{FlowLife: time.Minute}})
+			h.engine.SetRoutes(routeTable(1))
+			h.Equal(h.send(syn1(0, 1)).Reason, model.ReasonNotReady)
+			if answered {
+				h.Equal(h.send(packet(h.newTag(), 1)).Reason, model.ReasonNotReady)
+			}
+			h.now = h.now.Add(held)
+			h.sync(threeUpstreams()...)
+			var syns []direct.Action
+			for _, a := range h.engine.SetReady(h.now) {
+				if a.Verb == model.VerbForward {
+					syns = append(syns, a)
+				}
+			}
+			if answered {
+				h.Equal(len(syns), 0)
+				return
+			}
+			h.Equal(len(syns), 1)
+			h.now = h.now.Add(8 * time.Millisecond)
+			h.goesTo(syns[0].Upstream, packet(syns[0].Mark, 1))
+		})
+	}
+}
+
+// newTag returns the opening tag that another instance has sent to an upstream, without a lease.
+func (h *harness) newTag() model.RoutingTag {
+	return tagOf(registration(1, "east")).Opening(flowKey(1, feedAddress), 1, model.NoLease)
+}
--- a/internal/core/direct/lease.go
+++ b/internal/core/direct/lease.go
@@ -15,9 +15,10 @@
 // retransmission, and an upstream that does not hold the flow would reset it.
 
 const (
-	// leaseTime is the length of a lease, from the arrival of the SYN. The caller sends its first packet some 10 ms after the SYN, and the next copy of the SYN
-	// after 200 ms at the earliest, which leaves 120 ms for a SYN that was under way for long.
+	// leaseTime is the length of a lease. The caller sends its first packet some 10 ms after the SYN.
 	leaseTime = 80 * time.Millisecond
+	// leaseMargin is how long a SYN may have been under way to this instance: the next copy is due earlier by this time.
+	leaseMargin = 50 * time.Millisecond
 	// leaseSlot is the unit of the times of leases.
 	leaseSlot = 10 * time.Millisecond
 )
@@ -39,7 +40,7 @@
 	return e.clock.On(now).Width(), e.clock.Known()
 }
 
-// WithholdLeases grants no leases to SYNs that came here before an instant: they may have waited in a queue for so long that copies of them have reached
+// WithholdLeases grants no leases to SYNs that are handled before an instant: they may have waited in a queue for so long that copies of them have reached
 // other instances.
 func (e *Engine) WithholdLeases(until model.Instant) {
 	e.leasesFrom = max(e.leasesFrom, until)
@@ -47,7 +48,7 @@
 
 // leaseEnd returns when the lease of the flow's SYN is over; it is valid if the flow is leased.
 func (f *flow) leaseEnd() model.Instant {
-	return f.copies.lastAt.Add(leaseTime)
+	return f.copyAt.Add(leaseTime)
 }
 
 // holdsLease reports whether the flow's SYN must not go to another upstream yet.
@@ -56,14 +57,15 @@
 }
 
 // grantLease returns the lease of a SYN that is about to be sent to the upstream of the flow, or NoLease if another upstream may get the SYN before the lease
-// is over.
+// is over. If copies of it have gone through other instances, other upstreams may have answered those; but the caller has sent this one since it had no answer,
+// so that the first packet after it has the tag of the answer that it accepts.
 func (e *Engine) grantLease(now model.Instant, f *flow) model.Lease {
 	end := f.leaseEnd()
-	f.leased = e.clock.Known() && len(f.tried) == 1 && now < end && f.copies.complete(end) && f.copies.lastAt >= e.leasesFrom
+	f.leased = e.clock.Known() && len(f.tried) == 1 && now < end && f.copyAt >= e.leasesFrom && (f.copies.missing || f.copies.complete(end.Add(leaseMargin)))
 	if !f.leased {
 		return model.NoLease
 	}
-	return leaseOf(e.clock.Epoch, int64(e.clock.On(f.copies.lastAt).Earliest/leaseSlot))
+	return leaseOf(e.clock.Epoch, int64(e.clock.On(f.copyAt).Earliest/leaseSlot))
 }
 
 // isLeased reports whether a packet arrived with the opening tag of a run for the first packet of its flow, within the lease of the tag.
--- a/internal/core/direct/open.go
+++ b/internal/core/direct/open.go
@@ -80,7 +80,7 @@
 		held := f.holdsLease(now)
 		f.copies.add(now, seg)
 		if held || e.acceptsCopy(f) {
-			e.resendSyn(now, seg, f)
+			e.sendCopy(now, seg, f, f.up, model.ReasonCallerRepeats)
 			return
 		}
 		e.place(now, r, seg, f, e.drawTarget(r), model.ReasonCallerRepeats)
@@ -107,8 +107,13 @@
 		e.rejectUnplaced(now, seg, f)
 		return
 	}
-	f.syn = append(f.syn[:0], seg.Raw...)
-	e.sendSyn(now, seg.Flow, f, up, reason)
+	e.sendCopy(now, seg, f, up, reason)
+}
+
+// sendCopy sends a SYN that has come from the caller to an upstream.
+func (e *Engine) sendCopy(now model.Instant, syn *model.Segment, f *flow, up *roster.Upstream, reason model.Reason) {
+	f.syn, f.copyAt = append(f.syn[:0], syn.Raw...), now
+	e.sendSyn(now, syn.Flow, f, up, reason)
 }
 
 // rejectUnplaced handles a SYN that no upstream may take. A copy is only dropped while an upstream that got an earlier one may still answer it: the reset
--- a/internal/core/direct/opening.go
+++ b/internal/core/direct/opening.go
@@ -65,7 +65,7 @@
 		return f.triedWith(seg)
 	case !f.copies.precedes(seg):
 		return nil
-	case f.copies.precedeRetransmission(arrived), len(f.tried) == 1 && f.copies.precedeOther(arrived):
+	case f.precedesRetransmission(arrived), len(f.tried) == 1 && f.copies.precedeOther(arrived):
 		// The caller has sent the packet on the answer that it has accepted.
 		return f.triedWith(seg)
 	default:
--- a/internal/core/direct/other_copy_test.go
+++ b/internal/core/direct/other_copy_test.go
@@ -83,6 +83,7 @@
 			h := newHarness(t, threeUpstreams()...)
 			up := h.send(syn1(0, 1)).Upstream
 			change(h, up)
+			h.now = h.now.Add(400 * time.Millisecond)
 			h.Equal(h.send(syn1(0, 2)).Verb, model.VerbDrop)
 		})
 	}
--- a/internal/core/direct/silent.go
+++ b/internal/core/direct/silent.go
@@ -101,9 +101,3 @@
 func (e *Engine) acceptsCopy(f *flow) bool {
 	return f.probed && f.copies.count < synTransmissions && len(f.tried) == 1 && e.roster.Usable(f.up) && e.reachable(f.up)
 }
-
-// resendSyn sends a copy of a SYN to the upstream of the flow again.
-func (e *Engine) resendSyn(now model.Instant, syn *model.Segment, f *flow) {
-	f.syn = append(f.syn[:0], syn.Raw...)
-	e.sendSyn(now, syn.Flow, f, f.up, model.ReasonCallerRepeats)
-}
--- a/internal/core/model/segment.go
+++ b/internal/core/model/segment.go
@@ -24,7 +24,9 @@
 	AckSeq uint32
 	// Size is the number of data bytes.
 	Size int
-	// Delay is how long the packet was held before it was handled.
+	// Arrived is when the packet was read from the socket.
+	Arrived Instant
+	// Delay is how long the packet was queued or held before it was handled.
 	Delay time.Duration
 	// Raw is the packet as received; it must not be modified.
 	Raw []byte
--- a/internal/run/relay/clock.go
+++ b/internal/run/relay/clock.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hawthorncourse/internal/core/clock"
 	"hawthorncourse/internal/core/model"
 )
 
@@ -14,6 +15,19 @@
 	maxQueueTime = 50 * time.Millisecond
 )
 
+const (
+	// timeOfDayEpoch is the epoch of the time of day, which instances use until they learn the shared time from another one.
+	timeOfDayEpoch = 1
+	// maxTimeOfDayError is by how much the time of day may differ from that of other instances.
+	maxTimeOfDayError = 15 * time.Millisecond
+)
+
+// readTimeOfDay returns the time of day as a reading at an instant of the boot-time clock, which goes on with it: later steps of the time of day change nothing.
+func readTimeOfDay(boot time.Duration) clock.Reading {
+	day := time.Duration(time.Now().UnixNano())
+	return clock.Reading{Epoch: timeOfDayEpoch, At: model.Instant(boot), Earliest: day - maxTimeOfDayError, Latest: day + maxTimeOfDayError}
+}
+
 // bootTime returns the boot-time clock or, where that is not available, the time since the start of the process.
 func (r *Relay) bootTime() time.Duration {
 	if boot := r.stall.bootTime(); boot != 0 {
@@ -31,6 +45,9 @@
 func (r *Relay) updateClock(now model.Instant) {
 	boot := r.bootTime()
 	reading := r.share.Clock(boot)
+	if !reading.Known() {
+		reading = r.timeOfDay.On(model.Instant(boot))
+	}
 	reading.At = now
 	r.engine.SetClock(reading)
 	r.bootAhead = boot - time.Duration(now)
--- a/internal/run/relay/clock_test.go
+++ b/internal/run/relay/clock_test.go
@@ -58,3 +58,28 @@
 		})
 	}
 }
+
+// TestClockAtStart guards against first packets that are dropped after all instances have started at once: none has heard of the shared time from another one yet,
+// and uses the time of day until then.
+func TestClockAtStart(t *testing.T) {
+	is := is.New(t)
+	r := newStallRelay(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	r.work = t.Context()
+	r.timeOfDay = readTimeOfDay(r.bootTime())
+	r.share = share.New(share.Config{Self: "self", Listener: l, Ordinals: noOrdinals{}, Counts: count.New(), Clock: r.bootTime})
+	r.updateClock(r.now())
+	width, known := r.engine.ClockWidth(r.now())
+	is.True(known)
+	is.True(width >= 2*maxTimeOfDayError && width < 3*maxTimeOfDayError)
+
+	peer, address := newShare(t, "peer")
+	peer.Publish(model.Snapshot{Revision: 1})
+	_, err = r.share.Poll(t.Context(), address, model.Snapshot{}, 0)
+	is.NoErr(err)
+	r.updateClock(r.now())
+	width, known = r.engine.ClockWidth(r.now())
+	is.True(known)
+	is.True(width < 2*maxTimeOfDayError)
+}
--- a/internal/run/relay/decide.go
+++ b/internal/run/relay/decide.go
@@ -43,6 +43,7 @@
 			r.counters.drop(model.ReasonMalformed)
 			continue
 		}
+		seg.Arrived = r.now()
 		if !r.segments.Offer(seg) {
 			r.counters.drop(model.ReasonRingFull)
 		}
@@ -134,6 +135,7 @@
 	case r.copyQueued(seg):
 		r.act(ctx, now, []direct.Action{{Verb: model.VerbDrop, Reason: model.ReasonCopyQueued, Flow: seg.Flow, Tag: seg.Tag}})
 	default:
+		seg.Delay = now.Sub(seg.Arrived)
 		r.act(ctx, now, r.engine.Packet(now, seg))
 	}
 }
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -21,6 +21,7 @@
 	"hawthorncourse/internal/base/count"
 	"hawthorncourse/internal/base/logs"
 	"hawthorncourse/internal/base/ring"
+	"hawthorncourse/internal/core/clock"
 	"hawthorncourse/internal/core/direct"
 	"hawthorncourse/internal/core/egress"
 	"hawthorncourse/internal/core/fresh"
@@ -169,6 +170,8 @@
 	recorder      recorder
 	// stall is used by the decision loop only, but for its clock.
 	stall *stallDetector
+	// timeOfDay is the reading of the shared clock until another instance states one.
+	timeOfDay clock.Reading
 	// bootAhead is by how much the boot-time clock was ahead of the monotonic one when the engine's reading of the shared clock was set; only the decision loop
 	// uses it.
 	bootAhead time.Duration
@@ -206,6 +209,7 @@
 		stall:      newStallDetector(bootClock),
 		egress:     egress.New[outgoing](cfg.LinkMbps),
 	}
+	r.timeOfDay = readTimeOfDay(r.bootTime())
 	r.limits.Store(&cfg.Limits)
 	r.ordinal.Store(&model.Ordinal{})
 	r.counters = newActionCounters(r.counts)
