--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -11,7 +11,7 @@
 const (
 	// maxDrift is the most by which two clocks drift apart: each is slewed by up to 500 ppm.
 	maxDrift = 1000e-6
-	// maxWidth is the widest reading that is passed on while another instance may still know the shared time more precisely.
+	// maxWidth is the widest reading with which an instance that follows no other goes on instead of beginning an epoch.
 	maxWidth = 20 * time.Millisecond
 	// followTime is how long after its last reading from a peer an instance counts as following that peer. It exceeds the interval between two polls.
 	followTime = 3 * time.Second
--- a/internal/core/direct/lease.go
+++ b/internal/core/direct/lease.go
@@ -17,7 +17,7 @@
 const (
 	// leaseTime is the length of a lease. The caller sends its first packet some 10 ms after the SYN.
 	leaseTime = 80 * time.Millisecond
-	// leaseMargin is how long a SYN may have been under way to this instance: the next copy is due earlier by this time.
+	// leaseMargin is how long a SYN may have been under way before it came here; the caller sends the next copy earlier by this time than it seems here.
 	leaseMargin = 50 * time.Millisecond
 	// leaseSlot is the unit of the times of leases.
 	leaseSlot = 10 * time.Millisecond
--- a/internal/core/model/tag.go
+++ b/internal/core/model/tag.go
@@ -4,7 +4,8 @@
 // from that, one opening tag for the SYN of each flow.
 //
 // A packet with the tag of a run proves that its flow is open there: instances write the tag only into packets that follow the SYN, and an upstream echoes
-// what it has received. A packet with an opening tag proves that the run got the SYN and, if it is the first one of its flow, while the lease lasts that the flow is open there.
+// what it has received. A packet with an opening tag proves that the run got the SYN. If it is the first packet of its flow, and the lease of the tag lasts, it
+// also proves that the flow is open there.
 type RoutingTag uint32
 
 // Lease is the time of an opening tag, by the clock that the instances share. The instance that has sent the SYN sends it to no other upstream until the lease
--- a/internal/run/relay/clock.go
+++ b/internal/run/relay/clock.go
@@ -13,9 +13,6 @@
 	// maxQueueTime is how long a SYN may have waited in the queue for a lease. With the length of the lease, it stays below the time after which callers send
 	// the next copy.
 	maxQueueTime = 50 * time.Millisecond
-)
-
-const (
 	// timeOfDayEpoch is the epoch of the time of day, which instances use until they learn the shared time from another one.
 	timeOfDayEpoch = 1
 	// maxTimeOfDayError is by how much the time of day may differ from that of other instances.
@@ -60,13 +57,13 @@
 	}
 }
 
-// updateClockGauges updates the gauges of the shared clock.
+// updateClockGauges updates the gauges of the shared clock. It is known if it is not the time of day.
 func (r *Relay) updateClockGauges(now model.Instant) {
-	width, known := r.engine.ClockWidth(now)
-	value := 0.0
-	if known {
-		value = 1
+	known := 0.0
+	if r.share.Clock(r.bootTime()).Known() {
+		known = 1
 	}
-	r.counts.Gauge("clock.known").Update(value)
+	width, _ := r.engine.ClockWidth(now)
+	r.counts.Gauge("clock.known").Update(known)
 	r.counts.Gauge("clock.width_seconds").Update(width.Seconds())
 }
