Use an epoch of the shared clock from an age of 2 s

Cause: after a start of all instances, each changed from the time of day to the epoch that its reader had begun with its first poll, so that for more than a second the leases of one half proved nothing to the other, while flows moved as instances came back one by one.

Change: the age of an epoch is the shared time itself. All use an epoch from an age of 2 s, when the last has heard of it, and until then the one that they had, or the time of day.

--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// maxDrift is the most by which two clocks drift apart: each is slewed by up to 500 ppm.
-	maxDrift = 1000e-6
+	// maxDrift is the most by which two clocks drift apart, if each is slewed by up to 500 ppm.
+	maxDrift = 1001e-6
 	// maxWidth is the widest reading with which an instance that follows no other goes on instead of beginning an epoch.
 	maxWidth = 20 * time.Millisecond
+	// settleTime is the age from which an epoch is used. Instances hear of it with their next poll, so that they change to it at about the same time.
+	settleTime = 2 * time.Second
 	// followTime is how long after its last reading from a peer an instance counts as following that peer. It exceeds the interval between two polls.
 	followTime = 3 * time.Second
 )
@@ -64,8 +66,8 @@
 // concurrent use.
 type Sync struct {
 	cfg SyncConfig
-	// reading is the best one so far.
-	reading Reading
+	// reading is the best one so far, and previous the one that was in use before its epoch.
+	reading, previous Reading
 	// origin is set if this instance has begun the epoch of reading.
 	origin bool
 	// followedAt is when a peer last stated a reading.
@@ -77,8 +79,16 @@
 	return &Sync{cfg: cfg}
 }
 
-// Read returns the reading at an instant of the own clock.
+// Read returns the reading to use at an instant of the own clock.
 func (s *Sync) Read(now model.Instant) Reading {
+	if r := s.latest(now); r.Earliest >= settleTime {
+		return r
+	}
+	return s.previous.On(now)
+}
+
+// latest returns the best reading at an instant of the own clock.
+func (s *Sync) latest(now model.Instant) Reading {
 	if s.origin {
 		// The own clock is the shared one, so that there is no drift.
 		passed := now.Sub(s.reading.At)
@@ -87,6 +97,14 @@
 	return s.reading.On(now)
 }
 
+// replace replaces the reading.
+func (s *Sync) replace(now model.Instant, next Reading, origin bool) {
+	if next.Epoch != s.reading.Epoch {
+		s.previous = s.Read(now)
+	}
+	s.reading, s.origin = next, origin
+}
+
 // Follow takes over the reading that a polled peer stated in a reply, which has arrived now. The call took the time took by the own clock, for held of which,
 // by the peer's clock, the peer had not written the reply yet. What peers of the same epoch state is true of the same clock, so the narrower reading stays.
 func (s *Sync) Follow(now model.Instant, stated Reading, took, held time.Duration) {
@@ -96,19 +114,19 @@
 	s.followedAt = now
 	transit := max(took-held, 0) + driftIn(took)
 	next := Reading{Epoch: stated.Epoch, At: now, Earliest: stated.Earliest, Latest: stated.Latest + transit}
-	have := s.Read(now)
+	have := s.latest(now)
 	if have.Epoch == next.Epoch && (s.origin || have.Width() <= next.Width()) {
 		return
 	}
-	s.reading, s.origin = next, false
+	s.replace(now, next, false)
 }
 
 // State returns the reading to state to a peer that polls this instance. It begins an epoch if there is none to follow.
 func (s *Sync) State(now model.Instant) Reading {
-	have := s.Read(now)
+	have := s.latest(now)
 	following := s.followedAt != 0 && now.Sub(s.followedAt) < followTime
 	if !s.origin && !following && (!have.Known() || have.Width() > maxWidth) {
-		s.reading, s.origin = Reading{Epoch: s.cfg.NewEpoch(), At: now}, true
+		s.replace(now, Reading{Epoch: s.cfg.NewEpoch(), At: now}, true)
 	}
-	return s.Read(now)
+	return s.latest(now)
 }
--- a/internal/peer/share/clock.go
+++ b/internal/peer/share/clock.go
@@ -31,16 +31,10 @@
 
 // stateClock adds the shared time to a reply.
 func (s *Share) stateClock(reply *NextReply) {
-	now := s.ownTime()
 	s.clockMu.Lock()
-	epoch := s.clock.Read(now).Epoch
-	stated := s.clock.State(now)
-	s.clockMu.Unlock()
+	defer s.clockMu.Unlock()
+	stated := s.clock.State(s.ownTime())
 	reply.ClockEpoch, reply.ClockEarliest, reply.ClockLatest = uint64(stated.Epoch), int64(stated.Earliest), int64(stated.Latest)
-	if stated.Epoch != epoch && s.cfg.OnEpoch != nil {
-		// OnEpoch may wait, and the caller holds s.mu.
-		go s.cfg.OnEpoch()
-	}
 }
 
 // followClock takes over the shared time in a reply that has just arrived, to a call that took the time took.
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -57,7 +57,7 @@
 	OnLoads func(model.LoadReport)
 	// Clock reads the instance's own clock, which must also advance while the machine is suspended; nil selects one that need not.
 	Clock func() time.Duration
-	// OnEpoch, if not nil, is called when the epoch of the shared clock has changed.
+	// OnEpoch, if not nil, is called when a reply has changed the epoch of the shared clock that Share.Clock returns.
 	OnEpoch func()
 	// Counts holds the counters.
 	Counts *count.Set
